--- /dev/null
+++ b/examples/embed.rs
@@ -0,0 +1,74 @@
+//! A node in small: one request served, one after a failed connection, one past a server that drains.
+
+use tulipmount::*;
+
+fn settings() -> Settings {
+    Settings {
+        number: 0,
+        nodes: 1,
+        classes: vec![Class { aim: 100.0, worth: 1.0, late_worth: 0.0, effect: Effect::Unsafe }],
+        tenants: Vec::new(),
+        over_share_worth: 1.0,
+        goal: Goal { worth: 1.0, ..Goal::default() },
+        limits: Limits {
+            attempts: 3,
+            second_copies: false,
+            cancel: true,
+            probes: true,
+            connect_timeout: 50.0,
+        },
+        rules: Rules {
+            ask_within: 10_000.0,
+            cold_share: 0.2,
+            warm_within: 20_000.0,
+            fall_multiple: 3.0,
+            fall_window: 1_000.0,
+        },
+        discovery: Discovery::Pushed,
+        weights: Weights::Listed,
+        tick: 1.0,
+    }
+}
+
+fn entry(id: u64, state: Listed) -> Entry {
+    Entry { server: ServerId(id), zone: 0, cell: 0, kind: 0, state, weight: 1.0, started: None }
+}
+
+/// Hands over one event and prints what is to be done; gives the server of a send.
+fn tell(balancer: &mut Balancer, now: Millis, event: Event) -> Option<ServerId> {
+    let mut actions = Vec::new();
+    balancer.handle(now, event, &mut actions);
+    for action in actions.iter().filter(|a| !matches!(a, Action::SetTimer(_))) {
+        println!("{now:6.1} ms  {action:?}");
+    }
+    actions.iter().find_map(|a| if let Action::Send { server, .. } = a { Some(*server) } else { None })
+}
+
+fn ended(id: RequestId, attempt: usize, server: ServerId, outcome: Outcome) -> Event {
+    Event::Ended { id, attempt, server, outcome, took: 12.0, finished: outcome == Outcome::Done }
+}
+
+fn main() -> Result<(), SettingsError> {
+    let mut balancer = Balancer::new(settings(), 42)?;
+    let entries = (1..=3).map(|id| entry(id, Listed::Up)).collect();
+    tell(&mut balancer, 0.0, Event::List { entries, saved: false });
+
+    let ask = |id, now| Event::Request { id, class: 0, tenant: None, deadline: now + 500.0 };
+    let first = RequestId(1);
+    let server = tell(&mut balancer, 10.0, ask(first, 10.0)).expect("three servers are ready");
+    tell(&mut balancer, 22.0, ended(first, 0, server, Outcome::Done));
+
+    // The second request meets a dead server: it never ran, so it goes to the next turn.
+    let second = RequestId(2);
+    let server = tell(&mut balancer, 30.0, ask(second, 30.0)).expect("three servers are ready");
+    let server = tell(&mut balancer, 42.0, ended(second, 0, server, Outcome::ConnectFailed)).expect("resent");
+    tell(&mut balancer, 54.0, ended(second, 1, server, Outcome::Done));
+
+    // Server 1 drains: the third goes past it.
+    tell(&mut balancer, 60.0, Event::ListChange(vec![entry(1, Listed::Draining)]));
+    let third = RequestId(3);
+    let server = tell(&mut balancer, 70.0, ask(third, 70.0)).expect("one server is left");
+    assert_eq!(server, ServerId(3));
+    tell(&mut balancer, 82.0, ended(third, 0, server, Outcome::Done));
+    Ok(())
+}
--- /dev/null
+++ b/src/balance.rs
@@ -0,0 +1,1121 @@
+//! The decisions; interface: `src/api.rs`.
+//!
+//! Each request goes to the server whose turn it is: a smooth weighted rotation over the sorted servers,
+//! begun at the node's own offset, one send per turn, blind to load. A server that is not ready is passed
+//! over in place. All else here settles who is ready, when an attempt is given up or repeated, and when a
+//! request is refused.
+
+use std::collections::BTreeMap;
+
+use crate::api::*;
+
+/// Consecutive failures that make a server an outlier, where a single one proves nothing.
+const OUTLIER_FAILURES: u32 = 3;
+/// The most of the fleet that time-outs may eject: beyond it, the fault is likelier the work's or the
+/// fleet's.
+const EJECT_AT_MOST: f64 = 0.5;
+/// Part of the cold budget that is used; the rest is for chance and for uneven nodes.
+const SLOW_START_CAUTION: f64 = 0.5;
+/// Further attempts that may have cost work, as a part of the first ones.
+const RETRY_BUDGET_SHARE: f64 = 0.1;
+/// The retry budget that may be saved up, in attempts.
+const RETRY_BUDGET_MAX: f64 = 10.0;
+
+/// Nodes that share one server where there are many: enough that their uneven traffic evens out, few enough
+/// for its connections, and for each to see the server often.
+const NODES_PER_SERVER: usize = 8;
+/// The fewest servers that a node rotates over, so that there is a round, and another when one fails.
+const SUBSET_LEAST: usize = 2;
+
+/// In how many steps the subset follows the warmth of its servers.
+const WARMTH_STEPS: f64 = 32.0;
+
+/// Part of its aim that an answer should take on average: what is more makes too many late.
+const PACE_TARGET: f64 = 0.35;
+/// What an answer that came too late, or never, counts as, in parts of its aim.
+const LATE: f64 = 1.25;
+/// What an attempt that was cut off at its aim counts as: it would have taken about as long again.
+const CUT: f64 = 2.0;
+/// How strongly one answer moves the limit of its server.
+const LIMIT_GAIN: f64 = 0.25;
+/// Part of its aim beyond which an answer tells that its server has too many turns.
+const SHARE_FROM: f64 = 0.25;
+/// How strongly one answer moves the learned share of its server, and how much of it is forgotten.
+const SHARE_GAIN: (f64, f64) = (0.05, 0.005);
+/// How strongly one answer moves the usual time of its class on its kind of machine.
+const TIME_GAIN: f64 = 0.02;
+/// How much of a limit that is far from reached an answer takes away.
+const LIMIT_FADE: f64 = 0.02;
+/// Attempts of all nodes out at a server at first, and the least own limit; below one, it rests between them.
+const LIMITS: (f64, f64) = (8.0, 0.05);
+/// The first of these where it is less than one for each node that shares the server: such limits start low,
+/// as many nodes that each may send at once crowd a server before any has heard of it.
+const SPACED: f64 = 5.0;
+/// How far the fleet's factor may rise above 1, so that a few late answers do not make it act.
+const FLEET_RESERVE: f64 = 2.0;
+/// Part of its aim that a request may be held at the node: in a burst, and in a lasting overload.
+const HOLD: (f64, f64) = (0.25, 0.1);
+
+/// Over which time it is counted who is served how well.
+const MEMORY: Millis = 60_000.0;
+/// How far above the worst served part a class or tenant still counts nearly as the worst.
+const NEAR_WORST: f64 = 0.05;
+
+/// The decision module of one node.
+pub struct Balancer {
+    set: Settings,
+    random: u64,
+    now: Millis,
+    servers: BTreeMap<ServerId, Server>,
+    /// All servers that are up, sorted.
+    members: Vec<ServerId>,
+    /// The same, in the order in which this node would rather use them.
+    order: Vec<ServerId>,
+    /// Those that it rotates over, sorted.
+    subset: Vec<ServerId>,
+    /// When the subset was last chosen.
+    chosen: Millis,
+    requests: BTreeMap<RequestId, Request>,
+    /// Requests held at the node.
+    waiting: Vec<RequestId>,
+    /// The turn that was taken last.
+    cursor: f64,
+    /// The server that it fell to.
+    cursor_at: Option<ServerId>,
+    /// How many times more nodes share a server than are wanted, where a subset can be no smaller.
+    crowd: f64,
+    /// Since when some have been held without a break.
+    held_since: Option<Millis>,
+    classes: Vec<ClassStats>,
+    /// Factor to all limits where it is below 1: how far the fleet as a whole has slowed down.
+    fleet: f64,
+    /// How well each class, and each tenant within its share, is served.
+    class_served: Vec<Served>,
+    tenant_served: Vec<Served>,
+    /// Own part of each tenant's share, in requests that may still come within it.
+    quotas: Vec<(f64, Millis)>,
+    /// Requests answered a second, for one unit of weight.
+    pace: Rate,
+    /// Requests that came a second, for one unit of weight; stands in until one has been answered.
+    arrivals: Rate,
+    /// For each kind of machine, the usual time of each class on a server that has nothing else of ours.
+    times: BTreeMap<u64, Vec<Millis>>,
+    retry_budget: f64,
+    /// When the timer comes that was asked for last.
+    timer_due: Millis,
+    /// When what time brings was last looked at.
+    swept: Millis,
+    call: Call,
+}
+
+/// A server of the list, and what this node has seen of it.
+struct Server {
+    entry: Entry,
+    /// Its size as far as the list tells.
+    size: f64,
+    /// Learned factor to its size.
+    share: f64,
+    /// When its next turn comes; the rotation takes the least.
+    turn: f64,
+    /// Its warmth when the turn was set.
+    turn_warmth: f64,
+    /// Own attempts that are out: request, attempt, time of the send.
+    out: Vec<(RequestId, usize, Millis)>,
+    /// How many own attempts may be out while the fleet as a whole is not slow.
+    limit: f64,
+    last_sent: Millis,
+    /// How long its last answer took.
+    last_took: Millis,
+    /// Failures in a row.
+    consecutive_failures: u32,
+    /// Ejections in a row.
+    ejections: u32,
+    /// Ejected; looked at again from then on.
+    ejected: Option<Millis>,
+    /// Ejected for refused or broken connections: a process that will come back cold.
+    down: bool,
+    probing: bool,
+    /// Came back at that time from what looked like a restart.
+    returned: Option<Millis>,
+    /// A part of 1, by which the first send to it is put off while it is cold.
+    stagger: f64,
+}
+
+struct Request {
+    class: usize,
+    tenant: Option<usize>,
+    in_share: bool,
+    /// When the client first asked, as far as its deadline tells.
+    asked: Millis,
+    /// When this try of it came.
+    came: Millis,
+    deadline: Millis,
+    attempts: Vec<Attempt>,
+    streaming: bool,
+}
+
+struct Attempt {
+    server: ServerId,
+    zone: u64,
+    cell: u64,
+    sent: Millis,
+    /// The server was at half its limit at least with it, or had rested for less than twice its time.
+    at_limit: bool,
+    /// The server held nothing else of ours.
+    alone: bool,
+    /// How it ended; `None` while it is out.
+    outcome: Option<Outcome>,
+}
+
+/// What is usual for a class.
+struct ClassStats {
+    /// Mean time to an answer.
+    mean: Millis,
+    seen: u32,
+    /// By how much of its aim answers exceed the target, on average.
+    excess: f64,
+    /// The most time that a request had left when it came.
+    most_left: Millis,
+}
+
+/// A rate that forgets.
+struct Rate {
+    per_s: f64,
+    at: Millis,
+}
+
+/// Worth asked for and served.
+struct Served {
+    asked: Rate,
+    served: Rate,
+}
+
+/// The state of the calls to discovery.
+#[derive(PartialEq)]
+enum Call {
+    /// Not needed, or subscribed.
+    Settled,
+    /// Asked at this time, after so many failures.
+    Asked(Millis, u32),
+    /// To be asked at this time.
+    AskAt(Millis, u32),
+}
+
+/// The step of SplitMix64's walk.
+const GOLDEN: u64 = 0x9E37_79B9_7F4A_7C15;
+
+/// The mixing of SplitMix64.
+fn mix(mut z: u64) -> u64 {
+    z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    z ^ (z >> 31)
+}
+
+impl Rate {
+    fn new() -> Self {
+        Self { per_s: 0.0, at: 0.0 }
+    }
+
+    fn add(&mut self, now: Millis, span: Millis, amount: f64) {
+        self.per_s = self.at(now, span) + amount * 1000.0 / span.max(1.0);
+        self.at = now;
+    }
+
+    fn at(&self, now: Millis, span: Millis) -> f64 {
+        self.per_s * (-(now - self.at).max(0.0) / span.max(1.0)).exp()
+    }
+}
+
+impl Server {
+    fn listed_up(&self) -> bool {
+        self.entry.state == Listed::Up
+    }
+
+    /// How many own attempts may be out, with the fleet's factor and the least limit.
+    fn allowed(&self, fleet: f64, least: f64) -> f64 {
+        (self.limit * fleet.min(1.0)).max(least)
+    }
+
+    /// The part of its capacity that it has at the least, by the time since its start.
+    fn warmth(&self, now: Millis, rules: &Rules) -> f64 {
+        let start = self.entry.started.into_iter().chain(self.returned).fold(f64::NEG_INFINITY, f64::max);
+        let age = (now - start).max(0.0);
+        if age >= rules.warm_within {
+            return 1.0;
+        }
+        rules.cold_share + (1.0 - rules.cold_share) * age / rules.warm_within
+    }
+}
+
+impl Request {
+    /// Rule 2, for every further attempt and every refusal: is it harmless by what is known of the earlier
+    /// ones? `to` is the server to send to; `None` asks about a refusal.
+    fn may_repeat(&self, class: &Class, limits: &Limits, now: Millis, to: Option<&Entry>) -> bool {
+        let mut ran = self.attempts.iter().filter(|a| !a.outcome.is_some_and(Outcome::never_ran));
+        if to.is_some() {
+            let pending = self.attempts.iter().any(|a| a.outcome.is_none());
+            if self.attempts.len() >= limits.attempts || (pending && !limits.second_copies) {
+                return false;
+            }
+        }
+        match class.effect {
+            Effect::Safe => true,
+            Effect::Unsafe => ran.next().is_none(),
+            Effect::Keyed { group, memory } => ran.all(|a| match to {
+                None => group == Group::All,
+                Some(entry) => {
+                    let known = match group {
+                        Group::All => true,
+                        Group::Zone => a.zone == entry.zone,
+                        Group::Cell => a.cell == entry.cell,
+                    };
+                    known && now - a.sent < memory
+                }
+            }),
+        }
+    }
+
+    fn pending(&self) -> bool {
+        self.attempts.iter().any(|a| a.outcome.is_none())
+    }
+}
+
+impl Balancer {
+    /// A node at its start. `seed` is for its random numbers and should differ from node to node.
+    ///
+    /// # Errors
+    /// Where the settings make no sense; see [`Settings::check`].
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        settings.check()?;
+        let call = match settings.discovery {
+            Discovery::Pushed => Call::Settled,
+            Discovery::Asked => Call::AskAt(f64::NEG_INFINITY, 0),
+        };
+        let classes = settings
+            .classes
+            .iter()
+            .map(|c| ClassStats { mean: c.aim / 4.0, seen: 0, excess: 0.0, most_left: f64::NEG_INFINITY })
+            .collect();
+        let care = || Served { asked: Rate::new(), served: Rate::new() };
+        let class_served = settings.classes.iter().map(|_| care()).collect();
+        let tenant_served = settings.tenants.iter().map(|_| care()).collect();
+        let quotas = settings.tenants.iter().map(|_| (0.0, f64::NEG_INFINITY)).collect();
+        Ok(Self {
+            set: settings,
+            random: seed,
+            now: 0.0,
+            servers: BTreeMap::new(),
+            members: Vec::new(),
+            order: Vec::new(),
+            subset: Vec::new(),
+            chosen: f64::NEG_INFINITY,
+            requests: BTreeMap::new(),
+            waiting: Vec::new(),
+            cursor: 0.0,
+            cursor_at: None,
+            crowd: 1.0,
+            held_since: None,
+            classes,
+            fleet: 1.0,
+            class_served,
+            tenant_served,
+            quotas,
+            pace: Rate::new(),
+            arrivals: Rate::new(),
+            times: BTreeMap::new(),
+            retry_budget: RETRY_BUDGET_MAX,
+            timer_due: f64::INFINITY,
+            swept: f64::NEG_INFINITY,
+            call,
+        })
+    }
+
+    /// Takes one event and appends what is to be done, in order.
+    pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
+        self.now = now;
+        match event {
+            Event::List { entries, saved } => self.on_list(entries, !saved, true),
+            Event::ListChange(entries) => self.on_list(entries, true, false),
+            Event::ListFailed => self.on_list_failed(),
+            Event::Request { id, class, tenant, deadline } => {
+                self.on_request(id, class, tenant, deadline, actions);
+            }
+            Event::Streaming { id, attempt } => self.on_streaming(id, attempt, actions),
+            Event::Ended { id, attempt, server, outcome, took, finished } => {
+                self.on_ended(id, attempt, server, outcome, took, finished, actions);
+            }
+            Event::Probed { server, outcome, .. } => self.on_probed(server, outcome),
+            Event::ClientGone(id) => self.forget(id, actions),
+            Event::Timer => {}
+        }
+        if now >= self.timer_due {
+            self.timer_due = f64::INFINITY;
+        }
+        if now >= self.next_due() {
+            self.sweep(actions);
+        }
+        // Timers cost CPU, of which a node has little: none is set but for what is to be done then.
+        let due = self.next_due().max(now + self.set.tick.max(1.0));
+        if due < self.timer_due {
+            self.timer_due = due;
+            actions.push(Action::SetTimer(due - now));
+        }
+    }
+
+    /// When time alone next calls for something.
+    fn next_due(&self) -> Millis {
+        let call = match self.call {
+            Call::Settled => f64::INFINITY,
+            Call::AskAt(at, _) => at.max(0.0),
+            Call::Asked(at, _) => at + self.set.rules.ask_within,
+        };
+        let held = if self.waiting.is_empty() { f64::INFINITY } else { self.swept + self.period() };
+        let mut due = call.min(held);
+        for server in self.rotated() {
+            if let (Some(at), false) = (server.ejected, server.probing) {
+                due = due.min(at);
+            }
+            if server.turn_warmth < 1.0 {
+                due = due.min(self.chosen + self.warmth_step());
+            }
+        }
+        due
+    }
+
+    /// How often the subset follows the warmth of its servers.
+    fn warmth_step(&self) -> Millis {
+        self.set.rules.warm_within / WARMTH_STEPS
+    }
+
+    /// How often requests that wait are looked at: far below every aim, and
+    /// often enough that an answer at the deadline comes within its slack.
+    fn period(&self) -> Millis {
+        let aim = self.set.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
+        (aim / 20.0).max(self.set.tick).max(1.0)
+    }
+
+    fn random(&mut self) -> f64 {
+        self.random = self.random.wrapping_add(GOLDEN);
+        (mix(self.random) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    // ---- The list of servers ----
+
+    fn on_list(&mut self, entries: Vec<Entry>, answer: bool, whole: bool) {
+        if answer {
+            self.call = Call::Settled;
+        }
+        if whole {
+            for server in self.servers.values_mut() {
+                server.entry.state = Listed::Gone;
+            }
+        }
+        for mut entry in entries {
+            if !entry.weight.is_finite() || entry.weight <= 0.0 {
+                entry.weight = 1.0;
+            }
+            // Live weights are load in disguise, late and alike for all nodes. The most that a server was
+            // ever listed at, when it held least, is its size.
+            let seen = self.servers.get(&entry.server).map_or(0.0, |s| s.size);
+            let size = match self.set.weights {
+                Weights::Listed => entry.weight,
+                Weights::Live => entry.weight.max(seen),
+                Weights::None => 1.0,
+            };
+            let server = self.servers.entry(entry.server).or_insert_with(|| Server {
+                entry: entry.clone(),
+                size,
+                share: 1.0,
+                turn: f64::NAN,
+                turn_warmth: 1.0,
+                out: Vec::new(),
+                limit: f64::NAN,
+                last_sent: f64::NEG_INFINITY,
+                last_took: 0.0,
+                consecutive_failures: 0,
+                ejections: 0,
+                ejected: None,
+                down: false,
+                probing: false,
+                returned: None,
+                stagger: 0.0,
+            });
+            if entry.started != server.entry.started {
+                // It restarted: what was seen of the process before says nothing about this one.
+                (server.consecutive_failures, server.ejections, server.ejected, server.returned) =
+                    (0, 0, None, None);
+            }
+            if !server.listed_up() || entry.started != server.entry.started {
+                server.turn = f64::NAN;
+            }
+            server.size = size;
+            server.entry = entry;
+        }
+        // Kept while attempts are out, so that their outcomes still find it.
+        self.servers.retain(|_, s| s.entry.state != Listed::Gone || !s.out.is_empty());
+        if !self.up().map(|s| s.entry.server).eq(self.members.iter().copied()) {
+            self.members = self.up().map(|s| s.entry.server).collect();
+            self.order = self.preference(&self.members);
+        }
+        // Rests and least limits of all sharing nodes add up: kept per node, the looks of a crowd of nodes
+        // alone would keep a slow server from the rest that it needs.
+        self.crowd = (self.sharing() / NODES_PER_SERVER as f64).max(1.0);
+        let limit = self.first_limit();
+        for server in self.servers.values_mut().filter(|s| s.limit.is_nan()) {
+            server.limit = limit;
+        }
+        self.choose_subset();
+    }
+
+    fn on_list_failed(&mut self) {
+        if self.set.discovery == Discovery::Asked {
+            let failures = if let Call::Asked(_, failures) = self.call { failures + 1 } else { 1 };
+            // Backoff with jitter, so that nodes cut off together do not come back together; well within the
+            // time after which a node that has not asked counts as told.
+            let span = (self.set.rules.ask_within / 40.0) * f64::from(1u32 << failures.min(4));
+            self.call = Call::AskAt(self.now + span * (0.5 + 0.5 * self.random()), failures);
+        }
+    }
+
+    fn up(&self) -> impl Iterator<Item = &Server> + Clone {
+        self.servers.values().filter(|s| s.listed_up())
+    }
+
+    /// The servers of the subset.
+    fn rotated(&self) -> impl Iterator<Item = &Server> + Clone {
+        self.subset.iter().filter_map(|id| self.servers.get(id))
+    }
+
+    // ---- The subset ----
+
+    /// How many warm servers a node rotates over. All of them, until that would be more nodes to a server
+    /// than it should bear: connections, and what a node must send to learn of each, grow with both.
+    fn subset_size(&self, up: usize) -> usize {
+        (NODES_PER_SERVER * up).div_ceil(self.set.nodes).max(SUBSET_LEAST).min(up)
+    }
+
+    /// How many nodes send to a server.
+    fn sharing(&self) -> f64 {
+        let up = self.members.len().max(1);
+        (self.set.nodes * self.subset_size(up)) as f64 / up as f64
+    }
+
+    /// The concurrency limit that a server begins with.
+    fn first_limit(&self) -> f64 {
+        let sharing = self.sharing().max(1.0);
+        if sharing <= LIMITS.0 {
+            LIMITS.0 / sharing
+        } else {
+            SPACED / sharing
+        }
+    }
+
+    /// The least that a server's limit can fall to.
+    fn least_limit(&self) -> f64 {
+        LIMITS.1 / self.crowd
+    }
+
+    /// The order in which this node prefers the sorted `members`. All nodes fill the same table (as Maglev
+    /// does: each server in turn takes its next free place by an order of its own), so that each server has
+    /// as many places as any other and keeps most of them when the list changes. Each node reads the table
+    /// from a place of its own; first parts of the orders are thus an even cover of the fleet.
+    fn preference(&self, members: &[ServerId]) -> Vec<ServerId> {
+        const FREE: u32 = u32::MAX;
+        if self.subset_size(members.len()) == members.len() {
+            return members.to_vec();
+        }
+        let size = (SUBSET_LEAST * self.set.nodes).max(SUBSET_LEAST * members.len().next_power_of_two());
+        let mut walks: Vec<u64> = members.iter().map(|id| mix(id.0)).collect();
+        let mut table = vec![FREE; size];
+        for filled in 0..size {
+            let member = filled % members.len();
+            let walk = &mut walks[member];
+            let mut tries = 0;
+            let free = loop {
+                *walk = walk.wrapping_add(GOLDEN);
+                tries += 1;
+                let place = mix(*walk) as usize % size;
+                // Not twice in what one node reads first, but where nothing else is left.
+                let block = place - place % SUBSET_LEAST;
+                let twice = table[block..block + SUBSET_LEAST].contains(&(member as u32));
+                if table[place] == FREE && (!twice || tries > size) {
+                    break place;
+                }
+            };
+            table[free] = member as u32;
+        }
+        let own = self.set.number * size / self.set.nodes;
+        let mut seen = vec![false; members.len()];
+        let places = (own..size).chain(0..own).map(|place| table[place] as usize);
+        places.filter(|m| !std::mem::replace(&mut seen[*m], true)).map(|m| members[m]).collect()
+    }
+
+    /// Takes servers from the order until those that are not ejected make up enough warm ones: a subset of
+    /// which many are down or cold widens, so that its node's traffic does not fall on the few others.
+    fn choose_subset(&mut self) {
+        let wanted = self.subset_size(self.order.len()) as f64;
+        let (mut warm, mut subset) = (0.0, Vec::new());
+        for id in &self.order {
+            if warm >= wanted {
+                break;
+            }
+            if let Some(server) = self.servers.get(id) {
+                if server.ejected.is_none() {
+                    warm += server.warmth(self.now, &self.set.rules);
+                }
+                subset.push(*id);
+            }
+        }
+        subset.sort_unstable();
+        for id in &self.subset {
+            if subset.binary_search(id).is_err() {
+                if let Some(server) = self.servers.get_mut(id) {
+                    server.turn = f64::NAN;
+                }
+            }
+        }
+        (self.subset, self.chosen) = (subset, self.now);
+        self.place_newcomers();
+    }
+
+    // ---- The rotation ----
+
+    /// Gives servers that are new to the rotation their place in it. A server of size w has its turns at
+    /// (p + k) / w for k = 0, 1, ..., p being its place after the cursor, from 0 to 1: with equal sizes that
+    /// is the plain cyclic order, with unequal ones an even interleaving. The others keep their turns: were
+    /// all nodes to begin again at each change of the list, the servers after their offsets would get
+    /// everything while the list changes faster than a node gets round.
+    fn place_newcomers(&mut self) {
+        let members = self.subset.clone();
+        let count = members.len().max(1);
+        let number = self.set.number;
+        let cursor_at = self.cursor_at.map(|at| members.partition_point(|id| *id <= at));
+        for (place, id) in members.iter().enumerate() {
+            if !self.servers.get(id).is_some_and(|s| s.turn.is_nan()) {
+                continue;
+            }
+            let stagger = self.random();
+            if let Some(server) = self.servers.get_mut(id) {
+                let after = (place + count - cursor_at.unwrap_or(number) % count) % count;
+                let warmth = server.warmth(self.now, &self.set.rules);
+                // Cold ones take a random place: by the cursors alone, many nodes would come at once.
+                let p = if warmth < 1.0 { stagger } else { after as f64 / count as f64 };
+                server.turn = self.cursor + p / (server.size * warmth);
+                server.turn_warmth = warmth;
+                (server.stagger, server.last_sent) = (stagger, server.last_sent.max(self.now));
+            }
+        }
+    }
+
+    /// Takes turns until one falls to a server that `ready` lets through; the others are passed over in
+    /// place.
+    fn next_turn(&mut self, ready: impl Fn(&Self, &Server) -> bool) -> Option<ServerId> {
+        if !self.rotated().any(|s| ready(self, s)) {
+            return None;
+        }
+        let (now, cursor, rules) = (self.now, self.cursor, &self.set.rules);
+        for id in &self.subset {
+            // As a cold one warms up its turns come closer.
+            let Some(server) = self.servers.get_mut(id).filter(|s| s.turn_warmth < 1.0) else { continue };
+            let warmth = server.warmth(now, rules);
+            server.turn = cursor + (server.turn - cursor) * server.turn_warmth / warmth;
+            server.turn_warmth = warmth;
+        }
+        loop {
+            let id = self.rotated().min_by(|a, b| a.turn.total_cmp(&b.turn))?.entry.server;
+            let passes = ready(self, &self.servers[&id]);
+            let server = self.servers.get_mut(&id)?;
+            (self.cursor, self.cursor_at) = (server.turn, Some(id));
+            server.turn_warmth = server.warmth(now, &self.set.rules);
+            server.turn += 1.0 / (server.size * server.share * server.turn_warmth);
+            if passes {
+                return Some(id);
+            }
+        }
+    }
+
+    // ---- Which servers are ready ----
+
+    fn ready(&self, server: &Server) -> bool {
+        server.ejected.is_none() && self.within_slow_start(server) && self.has_room(server)
+    }
+
+    /// A server full with our own attempts is passed over: on turns alone a slow one keeps its full turn
+    /// while its queue grows until nothing that it is sent comes in time.
+    fn has_room(&self, server: &Server) -> bool {
+        let limit = server.allowed(self.fleet, self.least_limit());
+        if limit >= 1.0 {
+            return (server.out.len() as f64) < limit.floor();
+        }
+        server.out.is_empty() && self.now - server.last_sent >= self.rest(server)
+    }
+
+    /// How long a server with a limit below one rests from one send to the next: so long that on average no
+    /// more is out than the limit, but never so long that its recovery would go unseen.
+    fn rest(&self, server: &Server) -> Millis {
+        let most = self.set.classes.iter().map(|c| 2.0 * c.aim).fold(0.0, f64::max);
+        (server.last_took / server.allowed(self.fleet, self.least_limit())).min(most * self.crowd)
+    }
+
+    /// Rule 4: what all nodes send to a cold server in one window must stay below a multiple of what it can
+    /// do by now. What a warm server of its size is seen to answer is the measure, and each node spaces its
+    /// sends by its own traffic's part: a least of one send a window for each node would by the number of
+    /// nodes alone be more than a cold server can take. Before the first send a random part of the space is
+    /// waited, or all nodes would send at once when they hear of it.
+    fn within_slow_start(&self, server: &Server) -> bool {
+        let rules = &self.set.rules;
+        let warmth = server.warmth(self.now, rules);
+        if warmth >= 1.0 {
+            return true;
+        }
+        let part = SLOW_START_CAUTION * rules.fall_multiple * warmth;
+        let pace = if self.pace.per_s > 0.0 { self.pace.per_s } else { self.arrivals.per_s };
+        let space = 1000.0 / (part * pace * server.size);
+        self.now - server.last_sent >= space * server.stagger
+    }
+
+    fn eject(&mut self, id: ServerId, sure: bool) {
+        let up = self.rotated();
+        let ejected = up.clone().filter(|s| s.ejected.is_some()).count() + 1;
+        let too_many = ejected as f64 > EJECT_AT_MOST * up.count() as f64;
+        let (now, base, most) =
+            (self.now, 4.0 * self.set.limits.connect_timeout, self.set.rules.ask_within / 4.0);
+        if let Some(server) = self.servers.get_mut(&id) {
+            if server.ejected.is_none() && too_many && !sure {
+                return;
+            }
+            server.ejections += 1;
+            let span = (base * f64::from(1u32 << server.ejections.min(10))).min(most);
+            server.ejected = Some(now + span);
+        }
+        self.choose_subset();
+    }
+
+    fn on_probed(&mut self, id: ServerId, outcome: Outcome) {
+        let (now, stagger) = (self.now, self.random());
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        server.probing = false;
+        if server.ejected.is_none() {
+            return;
+        }
+        if outcome == Outcome::Done {
+            // Only a process that was down is cold. To take one that was merely slow for cold would put the
+            // whole fleet on cold budgets in a jam that ejects each server once.
+            if server.down && server.returned.is_none() {
+                (server.returned, server.last_sent, server.stagger) = (Some(now), now, stagger);
+            }
+            (server.ejected, server.consecutive_failures, server.down) = (None, 0, false);
+            self.choose_subset();
+        } else {
+            self.eject(id, true);
+        }
+    }
+
+    /// What an attempt's end says of its server.
+    fn detect_outlier(&mut self, id: ServerId, outcome: Outcome, took: Millis) {
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        match outcome {
+            Outcome::Done => (server.consecutive_failures, server.ejections) = (0, 0),
+            Outcome::Cancelled | Outcome::NotSent | Outcome::Full => {}
+            // A connection refused or broken tells at once that the process is down.
+            Outcome::ConnectFailed | Outcome::Reset => {
+                // A refusal is quick where the process is down, and takes the whole time where the way is
+                // cut.
+                let cut = outcome == Outcome::ConnectFailed && took >= 0.9 * self.set.limits.connect_timeout;
+                server.down |= !cut;
+                self.eject(id, true);
+            }
+            Outcome::TimedOut | Outcome::Error => {
+                server.consecutive_failures += 1;
+                if server.consecutive_failures >= OUTLIER_FAILURES {
+                    server.consecutive_failures = 0;
+                    self.eject(id, false);
+                }
+            }
+        }
+    }
+
+    // ---- Requests ----
+
+    fn on_request(
+        &mut self,
+        id: RequestId,
+        class: usize,
+        tenant: Option<usize>,
+        deadline: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.requests.contains_key(&id) {
+            // An id never comes twice. To answer the repeat would be to answer the first, which is still
+            // owed, and to send for it afterwards.
+            return;
+        }
+        if class >= self.set.classes.len() {
+            actions.push(Action::Fail(id));
+            return;
+        }
+        self.retry_budget = (self.retry_budget + RETRY_BUDGET_SHARE).min(RETRY_BUDGET_MAX);
+        let size: f64 = self.rotated().map(|s| s.size * s.warmth(self.now, &self.set.rules)).sum();
+        self.arrivals.add(self.now, self.set.rules.fall_window, 1.0 / size.max(1.0));
+        let tenant = tenant.filter(|t| *t < self.set.tenants.len());
+        let in_share = tenant.is_none_or(|t| self.take_quota(t));
+        let attempts = Vec::new();
+        let came = self.now;
+        let asked = came - self.age(class, deadline);
+        let request = Request { class, tenant, in_share, asked, came, deadline, attempts, streaming: false };
+        self.tally(&request, |care| &mut care.asked);
+        self.requests.insert(id, request);
+        self.waiting.push(id);
+        self.serve_waiting(actions);
+    }
+
+    /// How long ago the client first asked. A client that comes back after a refusal still gives up when the
+    /// time of its first asking ends: to take its request for a new one would spend work on what can no
+    /// longer be in time. The most time that a class's requests ever had left is that of new ones. Where
+    /// clients may repeat what they have given up, the deadline is that of the try and tells nothing.
+    fn age(&mut self, class: usize, deadline: Millis) -> Millis {
+        let left = deadline - self.now;
+        let most = &mut self.classes[class].most_left;
+        if left.is_finite() {
+            *most = most.max(left);
+        }
+        match self.set.classes[class].effect {
+            Effect::Safe | Effect::Keyed { group: Group::All, .. } => 0.0,
+            _ => (*most - left).max(0.0),
+        }
+    }
+
+    /// Is a request within its tenant's share? The share of all nodes is taken to come evenly to each.
+    fn take_quota(&mut self, tenant: usize) -> bool {
+        let own = self.set.tenants[tenant].quota_per_s / self.set.nodes as f64;
+        let (left, since) = self.quotas[tenant];
+        let left = (left + own * (self.now - since) / 1000.0).min(own.max(1.0));
+        let within = left >= 1.0;
+        self.quotas[tenant] = (if within { left - 1.0 } else { left }, self.now);
+        within
+    }
+
+    fn worth(&self, request: &Request) -> f64 {
+        let share = if request.in_share { 1.0 } else { self.set.over_share_worth };
+        self.set.classes[request.class].worth * share
+    }
+
+    fn tally(&mut self, request: &Request, of: impl Fn(&mut Served) -> &mut Rate) {
+        let (now, worth) = (self.now, self.worth(request));
+        of(&mut self.class_served[request.class]).add(now, MEMORY, worth);
+        if let (Some(tenant), true) = (request.tenant, request.in_share) {
+            of(&mut self.tenant_served[tenant]).add(now, MEMORY, worth);
+        }
+    }
+
+    /// What serving one unit of worth adds to the part of the goal that goes by the worst served, for each of
+    /// `cares`: all of it for the worst, less for those above it.
+    fn goal_weights(&self, cares: &[Served], goal: f64) -> Vec<f64> {
+        let asked: Vec<f64> = cares.iter().map(|c| c.asked.at(self.now, MEMORY)).collect();
+        let part = |(c, a): (&Served, &f64)| if *a > 0.0 { c.served.at(self.now, MEMORY) / a } else { 1.0 };
+        let parts: Vec<f64> = cares.iter().zip(&asked).map(part).collect();
+        let worst = parts.iter().copied().fold(f64::INFINITY, f64::min);
+        let near: Vec<f64> = parts.iter().map(|p| (-(p - worst) / NEAR_WORST).exp()).collect();
+        let sum: f64 = near.iter().sum();
+        let weight = |(n, a): (&f64, &f64)| if *a > 0.0 { goal * n / sum / a } else { 0.0 };
+        near.iter().zip(&asked).map(weight).collect()
+    }
+
+    /// May the request go to this server? Not again to the one that just failed it, unless there is no other.
+    fn may_go(&self, id: RequestId, to: &Server) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
+        let class = &self.set.classes[request.class];
+        let again = request.attempts.last().is_some_and(|a| a.server == to.entry.server);
+        (!again || self.subset.len() == 1)
+            && request.may_repeat(class, &self.set.limits, self.now, Some(&to.entry))
+    }
+
+    fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let late = self.set.classes[request.class].late_worth > 0.0;
+        let timeout = if late { request.deadline } else { self.useful_until(request) } - self.now;
+        let (rest, least) = (self.servers.get(&to).map_or(0.0, |s| self.rest(s)), self.least_limit());
+        let (Some(request), Some(server)) = (self.requests.get_mut(&id), self.servers.get_mut(&to)) else {
+            return;
+        };
+        let (zone, cell) = (server.entry.zone, server.entry.cell);
+        server.out.push((id, request.attempts.len(), self.now));
+        let allowed = server.allowed(self.fleet, least);
+        let rested = self.now - server.last_sent;
+        (server.last_sent, server.stagger) = (self.now, 1.0);
+        let alone = server.out.len() == 1;
+        let at_limit =
+            if allowed < 1.0 { rested <= 2.0 * rest } else { 2.0 * server.out.len() as f64 >= allowed };
+        request.attempts.push(Attempt {
+            server: to,
+            zone,
+            cell,
+            sent: self.now,
+            at_limit,
+            alone,
+            outcome: None,
+        });
+        actions.push(Action::Send { id, server: to, timeout: Some(timeout.max(0.001)) });
+    }
+
+    /// Until when an answer has its full worth, less the way back to the client.
+    fn useful_until(&self, request: &Request) -> Millis {
+        let aim = self.set.classes[request.class].aim;
+        (request.asked + aim - self.set.tick).min(request.deadline)
+    }
+
+    fn on_streaming(&mut self, id: RequestId, attempt: usize, actions: &mut Vec<Action>) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.streaming = true;
+            for (n, a) in request.attempts.iter().enumerate() {
+                if n != attempt && a.outcome.is_none() && self.set.limits.cancel {
+                    actions.push(Action::Cancel { id, attempt: n });
+                }
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn on_ended(
+        &mut self,
+        id: RequestId,
+        attempt: usize,
+        server: ServerId,
+        outcome: Outcome,
+        took: Millis,
+        finished: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let now = self.now;
+        let took = if took.is_finite() { took.max(0.0) } else { 0.0 };
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.out.retain(|o| (o.0, o.1) != (id, attempt));
+        }
+        self.detect_outlier(server, outcome, took);
+        self.servers.retain(|_, s| s.entry.state != Listed::Gone || !s.out.is_empty());
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(ended) = request.attempts.get_mut(attempt).filter(|a| a.outcome.is_none()) else { return };
+        ended.outcome = Some(outcome);
+        let (class, at_limit, alone) = (request.class, ended.at_limit, ended.alone);
+        let open = request.pending() || request.streaming;
+        self.learn(server, class, outcome, took, at_limit, alone);
+        if finished {
+            if let Some(request) = self.requests.remove(&id) {
+                if now - request.asked <= self.set.classes[class].aim {
+                    self.tally(&request, |care| &mut care.served);
+                }
+                self.requests.insert(id, request);
+            }
+            self.forget(id, actions);
+        } else if !open {
+            self.further(id, outcome, actions);
+        }
+        self.serve_waiting(actions);
+    }
+
+    /// What the end of an attempt says of its server's pace, for the limit, the share and the usual times.
+    fn learn(
+        &mut self,
+        id: ServerId,
+        class: usize,
+        outcome: Outcome,
+        took: Millis,
+        at_limit: bool,
+        alone: bool,
+    ) {
+        let (now, rules, done) = (self.now, &self.set.rules, outcome == Outcome::Done);
+        let (first, least_limit) = (self.first_limit(), self.least_limit());
+        let part = match outcome {
+            Outcome::Done => (took / self.set.classes[class].aim).min(LATE),
+            // Cut off when it was of no more use. One that had little time says little.
+            Outcome::TimedOut if self.set.classes[class].late_worth == 0.0 => {
+                CUT * (took / self.set.classes[class].aim).min(1.0)
+            }
+            Outcome::TimedOut | Outcome::Full => LATE,
+            _ => return,
+        };
+        let warm = |s: &Server| s.warmth(now, rules) >= 1.0;
+        if done && self.servers.get(&id).is_some_and(warm) {
+            // Measured on warm servers alone: measured on cold ones too, a cold budget would feed on itself.
+            let size: f64 = self.rotated().filter(|s| warm(s)).map(|s| s.size).sum();
+            self.pace.add(now, rules.fall_window, 1.0 / size.max(f64::MIN_POSITIVE));
+        }
+        let count = self.set.classes.len();
+        let pace = &mut self.classes[class];
+        if done {
+            pace.seen = pace.seen.saturating_add(1);
+            pace.mean += (took - pace.mean) / f64::from(pace.seen.min(200));
+        }
+        // A fleet that slows down at once is seen by all its answers long before each limit has heard enough
+        // of its own. Where half as many are late as come well in time, there is too much out.
+        let step = LIMIT_GAIN * (LATE - PACE_TARGET) / (self.subset.len().max(1) as f64).sqrt();
+        if part >= 1.0 {
+            self.fleet = (self.fleet * (-2.0 * step).exp()).max(LIMITS.1);
+        } else if part <= PACE_TARGET {
+            self.fleet = (self.fleet * step.exp()).min(FLEET_RESERVE);
+        }
+        let Some(s) = self.servers.get_mut(&id) else { return };
+        s.last_took = took;
+        if done && alone {
+            let time = &mut self.times.entry(s.entry.kind).or_insert_with(|| vec![0.0; count])[class];
+            *time += (took - *time) * if *time > 0.0 { TIME_GAIN } else { 1.0 };
+        }
+        // Sizes that the list does not tell: a server whose answers come later than the fleet's beyond a
+        // part of the aim has too many turns. In calm nothing is beyond it, and turns stay even.
+        let excess = (part - SHARE_FROM).max(0.0);
+        pace.excess += (excess - pace.excess) * SHARE_GAIN.0;
+        s.share = s.share.powf(1.0 - SHARE_GAIN.1) * (SHARE_GAIN.0 * (pace.excess - excess)).exp();
+        let unused = s.allowed(self.fleet, least_limit) > 2.0 * (s.out.len() as f64 + 1.0);
+        if unused || (s.limit < 1.0 && !at_limit) {
+            // A limit that was never reached protects nobody when the fleet slows down at once.
+            s.limit *= 1.0 - LIMIT_FADE;
+        }
+        if s.limit < first.min(1.0) && part <= PACE_TARGET && at_limit {
+            // Answers are rare below one: without a quick way back a server that was slow for seconds would
+            // stay out for minutes. Only to where limits begin: from there on many nodes would crowd it.
+            s.limit *= (LIMIT_GAIN * (LATE - PACE_TARGET)).exp();
+        } else if at_limit {
+            // One attempt at a time that still comes in time is not too much, even where the whole fleet is
+            // so slow that it misses the target.
+            let least = if part < 1.0 { s.limit.min(1.0) } else { least_limit };
+            s.limit = (s.limit * (LIMIT_GAIN * (PACE_TARGET - part)).exp()).max(least);
+        }
+    }
+
+    /// What becomes of a request whose attempts have all failed.
+    fn further(&mut self, id: RequestId, outcome: Outcome, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let class = &self.set.classes[request.class];
+        let end = if class.late_worth > 0.0 { request.deadline } else { self.useful_until(request) };
+        let time = end - self.now > self.classes[request.class].mean;
+        let free = outcome.never_ran();
+        let may =
+            self.rotated().any(|s| request.may_repeat(class, &self.set.limits, self.now, Some(&s.entry)));
+        if time && may && (free || self.retry_budget >= 1.0) {
+            if !free {
+                self.retry_budget -= 1.0;
+            }
+            self.waiting.push(id);
+        } else {
+            self.conclude(id, actions);
+        }
+    }
+
+    /// The final answer of a request that is not served: refused where rule 2 lets it, else failed.
+    fn conclude(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let class = &self.set.classes[request.class];
+        if request.may_repeat(class, &self.set.limits, self.now, None) {
+            actions.push(Action::Refuse(id));
+        } else {
+            actions.push(Action::Fail(id));
+        }
+        self.forget(id, actions);
+    }
+
+    /// Drops a request that is over; attempts that are still out are of no use any more.
+    fn forget(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        if let Some(request) = self.requests.remove(&id) {
+            for (attempt, a) in request.attempts.iter().enumerate() {
+                if a.outcome.is_none() && self.set.limits.cancel && !request.streaming {
+                    actions.push(Action::Cancel { id, attempt });
+                }
+            }
+        }
+    }
+
+    /// Sends what is held, in the order of what it adds to the goal for the work it takes, and answers what
+    /// has waited too long. First come, first served would shed by the length of the aims, not by worth.
+    fn serve_waiting(&mut self, actions: &mut Vec<Action>) {
+        let last = 2.0 * self.period();
+        let mut held = Vec::new();
+        for id in std::mem::take(&mut self.waiting) {
+            let Some(request) = self.requests.get(&id) else { continue };
+            let class = request.class;
+            // As long as an answer may still come in time.
+            let spare = self.useful_until(request) - self.classes[class].mean;
+            let end = if request.attempts.is_empty() {
+                // In a lasting overload a long hold helps nobody: all that is served has lost its time.
+                let aim = self.set.classes[class].aim;
+                let lasting = self.held_since.is_some_and(|since| self.now - since > aim);
+                (request.came + aim * if lasting { HOLD.1 } else { HOLD.0 }).min(spare).max(request.came)
+            } else {
+                spare
+            };
+            if self.now <= end.min(request.deadline - last) {
+                held.push(id);
+            } else {
+                self.conclude(id, actions);
+            }
+        }
+        // No turn is taken but for a request that may go: a held one that no ready server may have would else
+        // use up the turns of all the others.
+        while let Some(server) = self.next_turn(|b, s| b.ready(s) && held.iter().any(|id| b.may_go(*id, s))) {
+            let Some(place) = self.best_held(&held, server) else { break };
+            self.send(held.swap_remove(place), server, actions);
+        }
+        self.held_since = if held.is_empty() { None } else { self.held_since.or(Some(self.now)) };
+        self.waiting = held;
+    }
+
+    /// Which held request this server's turn goes to: the one that adds most to the goal for the time that
+    /// its class takes there; of equal ones the newest, as the oldest has lost the time of its hold.
+    fn best_held(&self, held: &[RequestId], server: ServerId) -> Option<usize> {
+        let to = self.servers.get(&server)?;
+        let mut may = (0..held.len()).filter(|i| self.may_go(held[*i], to));
+        if held.len() == 1 {
+            return may.next_back();
+        }
+        let goal = &self.set.goal;
+        let asked: f64 = self.class_served.iter().map(|c| c.asked.at(self.now, MEMORY)).sum();
+        let by_class = self.goal_weights(&self.class_served, goal.worst_class);
+        let by_tenant = self.goal_weights(&self.tenant_served, goal.worst_tenant);
+        let times = self.times.get(&to.entry.kind);
+        let key = |place: usize| {
+            let r = self.requests.get(&held[place])?;
+            let tenant = r.tenant.filter(|_| r.in_share).map_or(0.0, |t| by_tenant[t]);
+            let slope = goal.worth / asked.max(f64::MIN_POSITIVE) + by_class[r.class] + tenant;
+            let usual = self.classes[r.class].mean;
+            let time = times.map_or(usual, |t| if t[r.class] > 0.0 { t[r.class] } else { usual });
+            Some((self.worth(r) * slope / time.max(f64::MIN_POSITIVE), r.came))
+        };
+        let keyed = may.filter_map(|place| Some((place, key(place)?)));
+        let best = keyed.max_by(|(_, a), (_, b)| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        best.map(|(place, _)| place)
+    }
+
+    // ---- What time brings ----
+
+    fn sweep(&mut self, actions: &mut Vec<Action>) {
+        let now = self.now;
+        self.swept = now;
+        match self.call {
+            Call::AskAt(at, failures) if now >= at => {
+                self.call = Call::Asked(now, failures);
+                actions.push(Action::Subscribe);
+            }
+            // No answer at all: taken for a failure.
+            Call::Asked(at, _) if now - at >= self.set.rules.ask_within => self.on_list_failed(),
+            _ => {}
+        }
+        let due: Vec<ServerId> = self
+            .rotated()
+            .filter(|s| !s.probing && s.ejected.is_some_and(|at| now >= at))
+            .map(|s| s.entry.server)
+            .collect();
+        for id in due {
+            if self.set.limits.probes {
+                actions.push(Action::Probe(id));
+                if let Some(server) = self.servers.get_mut(&id) {
+                    server.probing = true;
+                }
+            } else {
+                self.on_probed(id, Outcome::Done);
+            }
+        }
+        if now >= self.chosen + self.warmth_step() && self.rotated().any(|s| s.turn_warmth < 1.0) {
+            self.choose_subset();
+        }
+        self.serve_waiting(actions);
+    }
+}
--- /dev/null
+++ b/src/bin/tulipmount-simhost.rs
@@ -0,0 +1,31 @@
+//! Hosts instances of the decision module behind standard input and output; see `tulipmount::wire`.
+
+use std::io::{self, BufRead, Write};
+use std::process::ExitCode;
+
+use tulipmount::wire::Host;
+
+fn main() -> ExitCode {
+    std::panic::set_hook(Box::new(|fault| eprintln!("{fault}")));
+    match serve() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(words) => {
+            eprintln!("tulipmount-simhost: {words}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve() -> Result<(), String> {
+    let mut host = Host::default();
+    let mut out = io::stdout().lock();
+    for line in io::stdin().lock().lines() {
+        let line = line.map_err(|e| e.to_string())?;
+        if line.trim().is_empty() {
+            continue;
+        }
+        let reply = host.line(&line)?;
+        writeln!(out, "{reply}").and_then(|()| out.flush()).map_err(|e| e.to_string())?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,44 @@
+//! The decisions of a load-balancing proxy in front of a fleet of HTTP servers.
+//!
+//! [`Balancer`] takes [`Event`]s and answers with [`Action`]s; it does no I/O and reads no clock. [`api`] is
+//! its whole interface, [`wire`] an adapter that drives many instances over lines of JSON.
+//!
+//! ```
+//! use tulipmount::*;
+//!
+//! let class = Class { aim: 100.0, worth: 1.0, late_worth: 0.0, effect: Effect::Unsafe };
+//! let settings = Settings {
+//!     number: 0,
+//!     nodes: 1,
+//!     classes: vec![class],
+//!     tenants: Vec::new(),
+//!     over_share_worth: 1.0,
+//!     goal: Goal { worth: 1.0, ..Goal::default() },
+//!     limits: Limits {
+//!         attempts: 3, second_copies: false, cancel: true, probes: false, connect_timeout: 50.0,
+//!     },
+//!     rules: Rules {
+//!         ask_within: 10_000.0, cold_share: 0.2, warm_within: 20_000.0, fall_multiple: 3.0, fall_window: 1_000.0,
+//!     },
+//!     discovery: Discovery::Pushed,
+//!     weights: Weights::None,
+//!     tick: 1.0,
+//! };
+//! let mut balancer = Balancer::new(settings, 42)?;
+//! let (mut actions, server) = (Vec::new(), ServerId(7));
+//! let up = Entry { server, zone: 0, cell: 0, kind: 0, state: Listed::Up, weight: 1.0, started: None };
+//! balancer.handle(0.0, Event::List { entries: vec![up], saved: false }, &mut actions);
+//! let request = Event::Request { id: RequestId(1), class: 0, tenant: None, deadline: 500.0 };
+//! balancer.handle(1.0, request, &mut actions);
+//! assert!(actions.iter().any(|a| matches!(a, Action::Send { server: to, .. } if *to == server)));
+//! # Ok::<(), SettingsError>(())
+//! ```
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod api;
+pub mod balance;
+pub mod wire;
+
+pub use api::*;
+pub use balance::Balancer;
