--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,100 @@
+//! One node of the load balancer: configuration, runtime, signals, exit code.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod net;
+
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use net::clients::Clients;
+use net::config::{self, Config};
+use net::log;
+use net::node::Node;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::{spawn_local, LocalSet};
+
+/// How long connections still come after SIGTERM.
+const ACCEPT: Duration = Duration::from_millis(500);
+/// When the node ends at the latest after SIGTERM. Every request has a deadline of its own before that.
+const STOP_WITHIN: Duration = Duration::from_millis(3500);
+/// Connections that the kernel may hold until they are accepted.
+const BACKLOG: u32 = 1024;
+/// How often idle connections are looked at.
+const SWEEP: Duration = Duration::from_millis(500);
+
+fn main() -> ExitCode {
+    let config = match config::load() {
+        Ok(config) => config,
+        Err(words) => return fail(&words),
+    };
+    // A task that panics leaves what it held unanswered, and perhaps the module half changed. A node that
+    // ends is started again; one that is half dead is not.
+    std::panic::set_hook(Box::new(|fault| {
+        eprintln!("panic: {fault}");
+        std::process::exit(101);
+    }));
+    log::start();
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&format!("runtime: {error}")),
+    };
+    match LocalSet::new().block_on(&runtime, serve(config)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(words) => fail(&words),
+    }
+}
+
+fn fail(words: &str) -> ExitCode {
+    eprintln!("glenwood: {}", words.replace('\n', " "));
+    ExitCode::FAILURE
+}
+
+fn listen(config: &Config) -> std::io::Result<TcpListener> {
+    let socket = if config.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(config.listen)?;
+    socket.listen(BACKLOG)
+}
+
+async fn serve(config: Config) -> Result<(), String> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signal: {e}"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signal: {e}"))?;
+    let listener = listen(&config).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let node = Node::new(config).map_err(|e| format!("settings: {e}"))?;
+    log::line(format!("{} listens at {}", node.config.name, node.config.listen));
+    let clients = Clients::new(node.clone());
+    spawn_local(node.clone().run_timer());
+    spawn_local(sweep(node.clone(), clients.clone()));
+    tokio::select! {
+        () = clients.accept(&listener) => {}
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    stop(&node, &clients, listener).await;
+    Ok(())
+}
+
+async fn sweep(node: Rc<Node>, clients: Rc<Clients>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        node.pool.sweep();
+        clients.sweep();
+    }
+}
+
+/// Finishes all that was taken: the front goes on connecting for a while, and clients use what they have for
+/// as long as it stays open.
+async fn stop(node: &Rc<Node>, clients: &Rc<Clients>, listener: TcpListener) {
+    let told = Instant::now();
+    node.closing.set(true);
+    let _ = tokio::time::timeout(ACCEPT, clients.accept(&listener)).await;
+    clients.empty_backlog(&listener).await;
+    drop(listener);
+    while told.elapsed() < STOP_WITHIN && (clients.count() > 0 || node.open_requests() > 0) {
+        clients.close_idle();
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
--- /dev/null
+++ b/src/net/clients.rs
@@ -0,0 +1,399 @@
+//! The clients' side: the listener, reading requests, and the one final answer of each.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::timeout;
+use tulipmount::{Effect, RequestId};
+
+use super::log;
+use super::node::{Answer, Node, Reply};
+use super::servers::{BODY_MOST, REMAINING};
+use super::sock::{Io, Phase, Sock};
+
+/// How long before the client's deadline the module's ends: the answer still has to be written and to
+/// arrive.
+const MARGIN: Duration = Duration::from_millis(20);
+/// How long before the client's deadline the node answers in the module's place.
+const GUARD: Duration = Duration::from_millis(9);
+/// The longest deadline that is believed.
+const LONGEST: u64 = 600_000;
+/// How long a request may take to come.
+const READING: Duration = Duration::from_secs(10);
+/// How long a connection is read after its last answer, so that a reset does not overtake it.
+const LINGER: Duration = Duration::from_millis(500);
+/// The largest head of a request.
+const HEAD_MOST: usize = 32 * 1024;
+/// A connection that has just come gets this long to bring its request, before it is closed as idle.
+const FRESH: Duration = Duration::from_millis(200);
+/// How long accepting rests when descriptors have run out.
+const EXHAUSTED: Duration = Duration::from_millis(20);
+
+const TXN: HeaderName = HeaderName::from_static("x-txn");
+const ORG: HeaderName = HeaderName::from_static("x-org");
+const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// A request as it goes on to a server.
+pub struct Asked {
+    /// Index of its class.
+    pub class: usize,
+    /// Index of its tenant.
+    pub tenant: Option<usize>,
+    /// Its method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// The headers that go on.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl Asked {
+    /// The request of a probe.
+    pub fn probe() -> Self {
+        let mut headers = HeaderMap::new();
+        headers.insert(HOST, HeaderValue::from_static("service.internal"));
+        let uri = Uri::from_static("/health");
+        Self { class: 0, tenant: None, method: Method::GET, uri, headers, body: Bytes::new() }
+    }
+}
+
+/// The headers that are not about one connection alone.
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    const HOP: [&str; 10] = [
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ];
+    let named: Vec<String> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let goes = |name: &HeaderName| !HOP.contains(&name.as_str()) && !named.iter().any(|n| n == name.as_str());
+    headers.iter().filter(|(name, _)| goes(name)).map(|(n, v)| (n.clone(), v.clone())).collect()
+}
+
+struct Client {
+    sock: Rc<Sock>,
+    close: Notify,
+}
+
+/// The connections of clients.
+pub struct Clients {
+    node: Rc<Node>,
+    open: RefCell<HashMap<u64, Rc<Client>>>,
+    last: Cell<u64>,
+    most: usize,
+    freed: Notify,
+}
+
+impl Clients {
+    /// No connections yet.
+    pub fn new(node: Rc<Node>) -> Rc<Self> {
+        let most = node.config.sockets / 2;
+        let (open, last, freed) = (RefCell::default(), Cell::new(0), Notify::new());
+        Rc::new(Self { node, open, last, most, freed })
+    }
+
+    /// How many connections there are.
+    pub fn count(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    /// Accepts connections; never ends.
+    pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+        loop {
+            while self.count() >= self.most && !self.evict() {
+                self.freed.notified().await;
+            }
+            match listener.accept().await {
+                Ok((stream, _)) => self.serve(stream),
+                Err(error) => {
+                    // Out of descriptors, as a rule: what is idle makes room, and the backlog waits.
+                    log::line(format!("accept: {error}"));
+                    if !self.node.pool.evict() {
+                        self.evict();
+                    }
+                    tokio::time::sleep(EXHAUSTED).await;
+                }
+            }
+        }
+    }
+
+    /// Accepts what the backlog still holds.
+    pub async fn empty_backlog(self: &Rc<Self>, listener: &TcpListener) {
+        while let Ok(Ok((stream, _))) = timeout(EXHAUSTED, listener.accept()).await {
+            self.serve(stream);
+        }
+    }
+
+    /// Closes connections on which a request takes too long to come.
+    pub fn sweep(&self) {
+        for client in self.open.borrow().values() {
+            let (phase, since) = client.sock.phase();
+            if phase == Phase::Reading && since.elapsed() >= READING {
+                client.close.notify_one();
+            }
+        }
+    }
+
+    /// Closes connections that are between requests and have nothing to read.
+    pub fn close_idle(&self) {
+        for client in self.open.borrow().values() {
+            let (phase, since) = client.sock.phase();
+            if phase == Phase::Idle && since.elapsed() >= FRESH && client.sock.quiet() {
+                client.close.notify_one();
+            }
+        }
+    }
+
+    /// Closes the connection that has been idle for longest, or else the one whose request has been coming
+    /// for longest; false where all are busy.
+    fn evict(&self) -> bool {
+        let (number, client) = {
+            let open = self.open.borrow();
+            let rank = |c: &Client| match c.sock.phase() {
+                (Phase::Idle, since) if c.sock.quiet() => Some((0, since)),
+                (Phase::Reading, since) if since.elapsed() >= READING / 10 => Some((1, since)),
+                _ => None,
+            };
+            let least = open.iter().filter_map(|(n, c)| Some((rank(c)?, *n))).min();
+            let Some((_, number)) = least else { return false };
+            (number, open.get(&number).cloned())
+        };
+        if let Some(client) = client {
+            client.close.notify_one();
+        }
+        self.open.borrow_mut().remove(&number);
+        true
+    }
+
+    fn serve(self: &Rc<Self>, stream: TcpStream) {
+        let Ok(sock) = Sock::new(stream) else { return };
+        let number = self.last.get() + 1;
+        self.last.set(number);
+        let client = Rc::new(Client { sock, close: Notify::new() });
+        self.open.borrow_mut().insert(number, client.clone());
+        let clients = self.clone();
+        tokio::task::spawn_local(async move {
+            clients.converse(client).await;
+            clients.open.borrow_mut().remove(&number);
+            clients.freed.notify_one();
+        });
+    }
+
+    async fn converse(self: &Rc<Self>, client: Rc<Client>) {
+        let service = service_fn(|request| {
+            let (node, sock) = (self.node.clone(), client.sock.clone());
+            async move { Ok::<_, Infallible>(respond(node, sock, request).await) }
+        });
+        let conn = http1::Builder::new()
+            .max_buf_size(HEAD_MOST)
+            .auto_date_header(false)
+            .serve_connection(Io(client.sock.clone()), service);
+        tokio::select! {
+            // What breaks a client's connection is the client's to see.
+            _ = conn => {
+                let _ = timeout(LINGER, client.sock.linger()).await;
+            }
+            () = client.close.notified() => {}
+        }
+    }
+}
+
+/// Answers one request.
+async fn respond(node: Rc<Node>, sock: Rc<Sock>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let arrived = sock.began();
+    let head = *request.method() == Method::HEAD;
+    let mut answer = if request.uri().path() == "/ready" {
+        let status = if node.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        plain(status)
+    } else {
+        match read(&node, request).await {
+            Ok((asked, remaining)) => {
+                sock.enter(Phase::Busy);
+                settle(&node, asked, arrived, remaining).await
+            }
+            Err(Bad { status, closes }) => {
+                let mut answer = plain(status);
+                if closes {
+                    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                answer
+            }
+        }
+    };
+    if node.closing.get() {
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    sock.begin(if head { 0 } else { body_length(&answer) });
+    sock.enter(Phase::Answering);
+    answer
+}
+
+fn body_length(answer: &Response<Full<Bytes>>) -> usize {
+    hyper::body::Body::size_hint(answer.body()).exact().unwrap_or(0) as usize
+}
+
+fn plain(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = status;
+    answer
+}
+
+/// Gives up the request when the client's connection ends before its answer.
+struct Owed {
+    node: Rc<Node>,
+    id: RequestId,
+    answered: bool,
+}
+
+impl Drop for Owed {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.node.client_gone(self.id);
+        }
+    }
+}
+
+/// Hands the request to the node and waits for its final answer.
+async fn settle(
+    node: &Rc<Node>,
+    asked: Asked,
+    arrived: Instant,
+    remaining: Duration,
+) -> Response<Full<Bytes>> {
+    let last = arrived + remaining;
+    let before = |margin: Duration| last - margin.min(remaining / 2);
+    if !node.has_room() {
+        return refusal(node);
+    }
+    let (id, answered) = node.request(asked, before(MARGIN));
+    let mut owed = Owed { node: node.clone(), id, answered: false };
+    // Whatever becomes of the module's timers and attempts, the client gets its answer in time.
+    match tokio::time::timeout_at(before(GUARD).into(), answered).await {
+        Ok(Ok(answer)) => {
+            owed.answered = true;
+            match answer {
+                Answer::Served(reply) => served(reply),
+                Answer::Refused => refusal(node),
+                Answer::Failed => plain(StatusCode::BAD_GATEWAY),
+            }
+        }
+        Ok(Err(_)) | Err(_) => plain(StatusCode::GATEWAY_TIMEOUT),
+    }
+}
+
+fn served(reply: Reply) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(reply.body));
+    *answer.headers_mut() = reply.headers;
+    answer
+}
+
+fn refusal(_node: &Node) -> Response<Full<Bytes>> {
+    let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
+    answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("0.1"));
+    answer
+}
+
+/// What is wrong with a request, and whether its connection is of further use.
+struct Bad {
+    status: StatusCode,
+    closes: bool,
+}
+
+impl From<StatusCode> for Bad {
+    fn from(status: StatusCode) -> Self {
+        Self { status, closes: false }
+    }
+}
+
+/// The one value of a header, if it has one that can be read.
+fn header<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, Bad> {
+    let mut values = headers.get_all(name).iter();
+    match (values.next(), values.next()) {
+        (None, _) => Ok(None),
+        (Some(value), None) => value.to_str().map(Some).map_err(|_| StatusCode::BAD_REQUEST.into()),
+        _ => Err(StatusCode::BAD_REQUEST.into()),
+    }
+}
+
+/// Ids and keys: some visible characters.
+fn token(value: Option<&str>) -> Result<&str, Bad> {
+    let fits = |v: &&str| (1..=256).contains(&v.len()) && v.bytes().all(|b| b.is_ascii_graphic());
+    value.filter(fits).ok_or(StatusCode::BAD_REQUEST.into())
+}
+
+async fn read(node: &Node, request: Request<Incoming>) -> Result<(Asked, Duration), Bad> {
+    let told = &node.config.told;
+    let (parts, body) = request.into_parts();
+    let declared = parts.headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
+    // What has not been read when the answer goes out makes the connection useless.
+    let unread =
+        |status| Bad { status, closes: declared != Some(0) && !hyper::body::Body::is_end_stream(&body) };
+    if declared.is_some_and(|n| n > BODY_MOST as u64) {
+        return Err(unread(StatusCode::PAYLOAD_TOO_LARGE));
+    }
+    let name = parts.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+    let class = told.classes.iter().position(|c| c == name).ok_or_else(|| unread(StatusCode::NOT_FOUND))?;
+    let checked = check(&parts.method, &parts.headers, told.settings.classes[class].effect);
+    let remaining = checked.map_err(|bad| unread(bad.status))?;
+    let tenant = header(&parts.headers, &ORG).ok().flatten();
+    let tenant = tenant.and_then(|org| told.tenants.iter().position(|t| t == org));
+    let mut uri = Uri::builder();
+    if let Some(path) = parts.uri.path_and_query() {
+        uri = uri.path_and_query(path.clone());
+    }
+    let uri = uri.build().map_err(|_| unread(StatusCode::BAD_REQUEST))?;
+    let body = match Limited::new(body, BODY_MOST).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) if e.is::<LengthLimitError>() => {
+            return Err(Bad { status: StatusCode::PAYLOAD_TOO_LARGE, closes: true })
+        }
+        Err(_) => return Err(Bad { status: StatusCode::BAD_REQUEST, closes: true }),
+    };
+    let mut headers = end_to_end(&parts.headers);
+    headers.remove(REMAINING);
+    if !headers.contains_key(HOST) {
+        headers.insert(HOST, HeaderValue::from_static("service.internal"));
+    }
+    Ok((Asked { class, tenant, method: parts.method, uri, headers, body }, remaining))
+}
+
+/// Checks what a request must bring, and gives its time.
+fn check(method: &Method, headers: &HeaderMap, effect: Effect) -> Result<Duration, Bad> {
+    token(header(headers, &TXN)?)?;
+    let remaining = header(headers, &REMAINING)?.filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
+    let remaining = remaining.and_then(|v| v.parse::<u64>().ok()).ok_or(StatusCode::BAD_REQUEST)?;
+    let wanted = if effect == Effect::Safe { Method::GET } else { Method::POST };
+    if *method != wanted {
+        return Err(StatusCode::BAD_REQUEST.into());
+    }
+    if matches!(effect, Effect::Keyed { .. }) {
+        token(header(headers, &KEY)?)?;
+    }
+    Ok(Duration::from_millis(remaining.min(LONGEST)))
+}
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,83 @@
+//! What the node is told at its start: environment and configuration file.
+
+use std::net::SocketAddr;
+
+use serde_json::Value;
+use tulipmount::wire::{told, Told};
+
+use super::discovery::{self, Update};
+
+/// The node's configuration.
+pub struct Config {
+    /// The node's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// The most file descriptors that the process may hold.
+    pub sockets: usize,
+    /// The list of servers as last had.
+    pub known: Option<Update>,
+    /// The settings.
+    pub told: Told,
+}
+
+/// Descriptors where the configuration names no limit.
+const SOCKETS: u64 = 1024;
+/// The fewest that a node can do anything with.
+const SOCKETS_LEAST: u64 = 32;
+
+/// Reads the configuration of this process.
+///
+/// # Errors
+/// One line that names the field.
+pub fn load() -> Result<Config, String> {
+    let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG: not set".to_string())?;
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("BALANCER_CONFIG: {path}: {e}"))?;
+    let value: Value = serde_json::from_str(&text).map_err(|e| format!("BALANCER_CONFIG: not JSON: {e}"))?;
+    parse(&value, |name| std::env::var(name).ok())
+}
+
+/// Reads a configuration; what the environment names goes before what the file says.
+fn parse(value: &Value, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let text = |name: &str| {
+        let upper = format!("BALANCER_{}", name.to_uppercase());
+        let file = || value.get(name).and_then(Value::as_str).map(|v| (name.to_string(), v.to_string()));
+        env(&upper).map(|v| (upper, v)).or_else(file).ok_or_else(|| format!("{name}: text expected"))
+    };
+    let address = |name: &str| {
+        let (from, words) = text(name)?;
+        words.parse().map_err(|_| format!("{from}: IP address and port expected, not {words:?}"))
+    };
+    let seed = value.get("seed").and_then(Value::as_str).ok_or("seed: text expected")?;
+    let known = match value.get("known") {
+        None | Some(Value::Null) => None,
+        Some(known) => Some(discovery::update(known.clone()).map_err(|e| format!("known: {e}"))?),
+    };
+    let told = told(value.get("settings").unwrap_or(&Value::Null)).map_err(|e| format!("settings: {e}"))?;
+    Ok(Config {
+        name: text("name")?.1,
+        listen: address("listen")?,
+        discovery: address("discovery")?,
+        seed: u64::from_str_radix(seed, 16)
+            .map_err(|_| format!("seed: hex digits expected, not {seed:?}"))?,
+        sockets: sockets(value)?,
+        known,
+        told,
+    })
+}
+
+fn sockets(value: &Value) -> Result<usize, String> {
+    let told = value.get("limits").and_then(|l| l.get("sockets"));
+    let count = match told {
+        None => SOCKETS,
+        Some(v) => v.as_u64().ok_or("limits.sockets: whole number expected")?,
+    };
+    if count < SOCKETS_LEAST {
+        return Err(format!("limits.sockets: {SOCKETS_LEAST} are needed at least, not {count}"));
+    }
+    Ok(count.min(1 << 20) as usize)
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,241 @@
+//! Discovery: reading the list, and the watch that brings its changes.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{Request, Response, StatusCode};
+use serde::Deserialize;
+use serde_json::Value;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tulipmount::Listed;
+
+use super::log;
+use super::node::Node;
+use super::sock::{Io, Sock};
+
+/// The longest line that is taken.
+const LINE_MOST: usize = 4 << 20;
+/// How long a connection may take.
+const CONNECT: Duration = Duration::from_millis(1000);
+/// How long a call may wait in the service's queue.
+const FIRST: Duration = Duration::from_millis(4500);
+/// A watch brings a line every 2 s: a longer silence is a dead link, which TCP alone would not notice.
+const SILENCE: Duration = Duration::from_millis(4500);
+
+/// One line of discovery.
+#[derive(Debug, Deserialize)]
+pub struct Update {
+    /// The list's version.
+    #[serde(rename = "seq")]
+    pub version: u64,
+    /// The whole list, not just changes.
+    #[serde(rename = "whole")]
+    pub whole: bool,
+    /// The entries.
+    pub hosts: Vec<Host>,
+}
+
+/// One server of a line.
+#[derive(Debug, Deserialize)]
+pub struct Host {
+    /// Its name, the same at every node.
+    pub host: String,
+    /// Where it listens; one that is gone may have none.
+    #[serde(default, rename = "dial")]
+    pub dial: Option<SocketAddr>,
+    /// Its zone.
+    #[serde(default, rename = "site")]
+    pub zone: String,
+    /// Its kind of machine.
+    #[serde(default, rename = "class")]
+    pub kind: String,
+    /// Its cell.
+    #[serde(default, rename = "block")]
+    pub cell: u64,
+    /// Its state.
+    pub health: Health,
+    /// Its weight.
+    #[serde(default = "one", rename = "share")]
+    pub weight: f64,
+    /// When it last started, Unix time in milliseconds; 0 for long ago.
+    #[serde(default)]
+    pub born_ms: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// The state of a server.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Health {
+    /// In service.
+    Active,
+    /// Finishing its work.
+    Leaving,
+    /// Gone.
+    Left,
+}
+
+impl From<Health> for Listed {
+    fn from(health: Health) -> Self {
+        match health {
+            Health::Active => Self::Up,
+            Health::Leaving => Self::Draining,
+            Health::Left => Self::Gone,
+        }
+    }
+}
+
+/// Reads a line's object.
+///
+/// # Errors
+/// Names what is missing or malformed.
+pub fn update(value: Value) -> Result<Update, String> {
+    let update: Update = serde_json::from_value(value).map_err(|e| e.to_string())?;
+    match update.hosts.iter().find(|h| h.dial.is_none() && h.health != Health::Left) {
+        Some(host) => Err(format!("{}: dial is missing", host.host)),
+        None => Ok(update),
+    }
+}
+
+/// Why a call ended.
+enum Ended {
+    /// It failed or broke.
+    Broken(String),
+    /// It brought what can't be read; the whole list is needed.
+    Unreadable(String),
+}
+
+impl From<hyper::Error> for Ended {
+    fn from(error: hyper::Error) -> Self {
+        Self::Broken(error.to_string())
+    }
+}
+
+/// Watches from the version that the node has, or asks for the whole list first where it has to. Ends when
+/// the watch ends, and tells the node.
+pub async fn follow(node: Rc<Node>) {
+    let words = match watch(&node).await {
+        Ok(()) => "the watch ended".to_string(),
+        Err(Ended::Broken(words)) => words,
+        Err(Ended::Unreadable(words)) => {
+            node.forget_version();
+            format!("unreadable line dropped: {words}")
+        }
+    };
+    log::line(format!("discovery: {words}"));
+    node.discovery_failed();
+}
+
+async fn watch(node: &Rc<Node>) -> Result<(), Ended> {
+    let version = match node.version() {
+        Some(version) => version,
+        None => whole(node).await?,
+    };
+    let mut body = call(node, &format!("/v1/endpoints?watch=1&from={version}")).await?;
+    let mut lines = Lines::default();
+    let mut wait = FIRST;
+    loop {
+        let frame = timeout(wait, body.answer.frame()).await;
+        let Some(frame) = frame.map_err(|_| Ended::Broken("silent watch".into()))? else { return Ok(()) };
+        wait = SILENCE;
+        let Ok(data) = frame?.into_data() else { continue };
+        lines.push(&data)?;
+        while let Some(line) = lines.next() {
+            if line.is_empty() {
+                node.discovery_alive();
+            } else {
+                node.listed(read(&line)?);
+            }
+        }
+    }
+}
+
+/// Asks for the whole list once.
+async fn whole(node: &Rc<Node>) -> Result<u64, Ended> {
+    let mut body = call(node, "/v1/endpoints").await?;
+    let mut text = Lines::default();
+    loop {
+        let frame = timeout(FIRST, body.answer.frame()).await;
+        let Some(frame) = frame.map_err(|_| Ended::Broken("silent list".into()))? else { break };
+        if let Ok(data) = frame?.into_data() {
+            text.push(&data)?;
+        }
+    }
+    let update = read(&text.held)?;
+    let version = update.version;
+    node.listed(update);
+    Ok(version)
+}
+
+fn read(line: &[u8]) -> Result<Update, Ended> {
+    let value = serde_json::from_slice(line).map_err(|e| Ended::Unreadable(e.to_string()))?;
+    update(value).map_err(Ended::Unreadable)
+}
+
+/// A call's answer; the connection ends with it.
+struct Call {
+    answer: Incoming,
+    driver: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+async fn call(node: &Rc<Node>, path: &str) -> Result<Call, Ended> {
+    let broken = |words: &str| Ended::Broken(words.to_string());
+    let to = node.config.discovery;
+    let stream = timeout(CONNECT, TcpStream::connect(to)).await.map_err(|_| broken("no connection"))?;
+    let sock = stream.and_then(Sock::new).map_err(|e| broken(&e.to_string()))?;
+    let (mut send, conn) = http1::handshake(Io(sock)).await?;
+    let driver = tokio::task::spawn_local(async move {
+        // What breaks the connection breaks the call too, and is seen there.
+        let _ = conn.await;
+    });
+    let request = Request::get(path).header("host", to.to_string()).body(Empty::<Bytes>::new());
+    let request = request.map_err(|e| broken(&e.to_string()))?;
+    let answer = timeout(FIRST, send.send_request(request)).await;
+    let answer: Response<Incoming> = answer.map_err(|_| broken("no answer"))??;
+    if answer.status() != StatusCode::OK {
+        driver.abort();
+        return Err(Ended::Broken(format!("status {}", answer.status())));
+    }
+    Ok(Call { answer: answer.into_body(), driver })
+}
+
+/// Cuts a stream into lines.
+#[derive(Default)]
+struct Lines {
+    held: Vec<u8>,
+}
+
+impl Lines {
+    fn push(&mut self, data: &[u8]) -> Result<(), Ended> {
+        if self.held.len() + data.len() > LINE_MOST {
+            return Err(Ended::Unreadable("longer than a line may be".into()));
+        }
+        self.held.extend_from_slice(data);
+        Ok(())
+    }
+
+    fn next(&mut self) -> Option<Vec<u8>> {
+        let end = self.held.iter().position(|b| *b == b'\n')?;
+        let rest = self.held.split_off(end + 1);
+        let mut line = std::mem::replace(&mut self.held, rest);
+        while line.last().is_some_and(u8::is_ascii_whitespace) {
+            line.pop();
+        }
+        Some(line)
+    }
+}
--- /dev/null
+++ b/src/net/servers.rs
@@ -0,0 +1,288 @@
+//! The way to the servers: the connection pool, attempts and probes, and how each ended.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
+use tokio::net::TcpStream;
+use tokio::time::{timeout, timeout_at};
+use tulipmount::{Outcome, RequestId, ServerId};
+
+use super::clients::{end_to_end, Asked};
+use super::config::Config;
+use super::node::{Node, Reply};
+use super::sock::{Io, Sock};
+
+/// The largest body that is passed on.
+pub const BODY_MOST: usize = 64 * 1024;
+/// The largest head of an answer.
+const HEAD_MOST: usize = 32 * 1024;
+/// The part of the servers' keep-alive after which a connection is not used any more: one that is written to
+/// when its server closes it ends as a reset, and fails what must not be repeated.
+const IDLE_SHARE: f64 = 0.5;
+
+/// Turned away unseen.
+const TURNED_AWAY: HeaderName = HeaderName::from_static("x-turned-away");
+/// The time that is left.
+pub const REMAINING: HeaderName = HeaderName::from_static("x-remaining-ms");
+
+/// A connection between requests. It is not polled meanwhile: what happened to it is looked up before use.
+struct Link {
+    sock: Rc<Sock>,
+    send: SendRequest<Full<Bytes>>,
+    conn: Connection<Io, Full<Bytes>>,
+    since: Instant,
+    _held: Held,
+}
+
+/// One of the descriptors that the pool may hold.
+struct Held(Rc<Cell<usize>>);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Connections to servers.
+pub struct Pool {
+    idle: RefCell<HashMap<ServerId, Vec<Link>>>,
+    held: Rc<Cell<usize>>,
+    most: usize,
+    idle_most: Duration,
+    connect: Duration,
+}
+
+impl Pool {
+    /// An empty pool with its part of the descriptors.
+    pub fn new(config: &Config) -> Self {
+        let ms = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3_600_000.0) / 1000.0);
+        Self {
+            idle: RefCell::default(),
+            held: Rc::default(),
+            most: config.sockets * 3 / 8,
+            idle_most: ms(config.told.keepalive * IDLE_SHARE),
+            connect: ms(config.told.settings.limits.connect_timeout),
+        }
+    }
+
+    /// Closes the idle connections to a server.
+    pub fn forget(&self, server: ServerId) {
+        self.idle.borrow_mut().remove(&server);
+    }
+
+    /// Closes what has been idle for long or was closed by its server; its descriptor is held for nothing.
+    pub fn sweep(&self) {
+        let mut idle = self.idle.borrow_mut();
+        for links in idle.values_mut() {
+            links.retain(|l| l.since.elapsed() < self.idle_most && l.sock.quiet());
+        }
+        idle.retain(|_, links| !links.is_empty());
+    }
+
+    /// The connection that was used last, if any still stands.
+    fn take(&self, server: ServerId) -> Option<Link> {
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.get_mut(&server)?;
+        while let Some(link) = links.pop() {
+            if link.since.elapsed() < self.idle_most && link.sock.quiet() {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    fn put(&self, server: ServerId, mut link: Link) {
+        link.since = Instant::now();
+        self.idle.borrow_mut().entry(server).or_default().push(link);
+    }
+
+    /// Closes the connection that has been idle for longest; false where none is.
+    pub fn evict(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let Some(links) =
+            idle.values_mut().filter(|l| !l.is_empty()).min_by_key(|links| links.first().map(|l| l.since))
+        else {
+            return false;
+        };
+        links.remove(0);
+        true
+    }
+
+    async fn connect(&self, dial: SocketAddr) -> Option<Link> {
+        if self.held.get() >= self.most && !self.evict() {
+            return None;
+        }
+        self.held.set(self.held.get() + 1);
+        let held = Held(self.held.clone());
+        let stream = timeout(self.connect, TcpStream::connect(dial)).await.ok()?.ok()?;
+        let sock = Sock::new(stream).ok()?;
+        let builder = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(Io(sock.clone())).await;
+        let (send, conn) = builder.ok()?;
+        Some(Link { sock, send, conn, since: Instant::now(), _held: held })
+    }
+}
+
+/// Which attempt, where to, and until when.
+#[derive(Clone, Copy)]
+pub struct To {
+    /// The request.
+    pub id: RequestId,
+    /// The attempt's number.
+    pub attempt: usize,
+    /// The server.
+    pub server: ServerId,
+    /// When it is given up.
+    pub end: Instant,
+}
+
+/// Makes one attempt and tells the node how it ended.
+pub async fn attempt(node: Rc<Node>, to: To, asked: Rc<Asked>) {
+    let (outcome, reply) = exchange(&node, to.server, to.end, &asked.method, &asked.uri, &asked).await;
+    node.attempt_ended(to.id, to.attempt, outcome, reply);
+}
+
+/// Probes a server and tells the node how it ended.
+pub async fn probe(node: Rc<Node>, server: ServerId) {
+    let sent = Instant::now();
+    // As long as a connection may take, and as long again for the answer.
+    let end = sent + 2 * node.pool.connect;
+    let asked = Asked::probe();
+    let (outcome, _) = exchange(&node, server, end, &asked.method, &asked.uri, &asked).await;
+    node.probed(server, outcome, sent.elapsed());
+}
+
+/// One request to a server, and how it ended.
+async fn exchange(
+    node: &Rc<Node>,
+    server: ServerId,
+    end: Instant,
+    method: &Method,
+    uri: &Uri,
+    asked: &Asked,
+) -> (Outcome, Option<Reply>) {
+    let mut pooled = node.pool.take(server);
+    loop {
+        // A drain holds from the moment it is told, also for what waited on a connection until now.
+        let Some(dial) = node.dial(server) else { return (Outcome::NotSent, None) };
+        let reused = pooled.is_some();
+        let link = match pooled.take() {
+            Some(link) => Some(link),
+            None => match timeout_at(end.into(), node.pool.connect(dial)).await {
+                Ok(link) => link,
+                Err(_) => return (Outcome::NotSent, None),
+            },
+        };
+        let Some(mut link) = link else { return (Outcome::ConnectFailed, None) };
+        if node.dial(server) != Some(dial) {
+            return (Outcome::NotSent, None);
+        }
+        link.sock.begin(asked.body.len());
+        let request = request(method, uri, asked, end);
+        let ended = timeout_at(end.into(), converse(&mut link, request)).await;
+        let (any, whole) = (link.sock.any(), link.sock.whole());
+        match ended {
+            // A kept connection that was closed before the first byte was written: nothing was sent, so this
+            // is still the same attempt.
+            Ok(Err(_)) if reused && !any => continue,
+            Ok(Ok(heard)) => {
+                if heard.keep {
+                    node.pool.put(server, link);
+                }
+                return heard.judge();
+            }
+            Ok(Err(Broken::Link)) if whole => return (Outcome::Reset, None),
+            Ok(Err(Broken::Garbled)) if whole => return (Outcome::Error, None),
+            Ok(Err(_)) => return (Outcome::ConnectFailed, None),
+            Err(_) if whole => return (Outcome::TimedOut, None),
+            Err(_) => return (Outcome::NotSent, None),
+        }
+    }
+}
+
+fn request(method: &Method, uri: &Uri, asked: &Asked, end: Instant) -> Request<Full<Bytes>> {
+    let left = end.saturating_duration_since(Instant::now()).as_millis() as u64;
+    let mut request = Request::new(Full::new(asked.body.clone()));
+    *request.method_mut() = method.clone();
+    *request.uri_mut() = uri.clone();
+    *request.headers_mut() = asked.headers.clone();
+    request.headers_mut().insert(REMAINING, HeaderValue::from(left));
+    request
+}
+
+/// What a server answered.
+struct Heard {
+    status: StatusCode,
+    reply: Reply,
+    keep: bool,
+}
+
+impl Heard {
+    fn judge(self) -> (Outcome, Option<Reply>) {
+        let away = self.reply.headers.get(TURNED_AWAY).is_some_and(|v| v == "1");
+        match self.status {
+            StatusCode::OK => (Outcome::Done, Some(self.reply)),
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if away => (Outcome::Full, None),
+            _ => (Outcome::Error, None),
+        }
+    }
+}
+
+enum Broken {
+    /// The connection ended.
+    Link,
+    /// What came can't be read.
+    Garbled,
+}
+
+impl From<hyper::Error> for Broken {
+    fn from(error: hyper::Error) -> Self {
+        if error.is_parse() || error.is_parse_too_large() || error.is_parse_status() {
+            Self::Garbled
+        } else {
+            Self::Link
+        }
+    }
+}
+
+/// Writes a request and reads the answer whole. A second request on the connection is never begun here, and
+/// nothing is sent again.
+async fn converse(link: &mut Link, request: Request<Full<Bytes>>) -> Result<Heard, Broken> {
+    let Link { send, conn, .. } = link;
+    let talk = async {
+        send.ready().await?;
+        let answer = send.send_request(request).await?;
+        let (parts, body) = answer.into_parts();
+        let body = Limited::new(body, BODY_MOST).collect().await;
+        let body = body.map_err(|e| match e.downcast::<hyper::Error>() {
+            Ok(error) => Broken::from(*error),
+            Err(_) => Broken::Garbled,
+        })?;
+        Ok::<_, Broken>((parts, body.to_bytes()))
+    };
+    let (parts, body) = drive(conn, talk).await?;
+    let closes = parts.headers.get("connection").is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
+    let headers: HeaderMap = end_to_end(&parts.headers);
+    Ok(Heard { status: parts.status, reply: Reply { headers, body }, keep: !closes })
+}
+
+/// Polls the connection for as long as what goes on over it lasts.
+async fn drive<T>(conn: &mut Connection<Io, Full<Bytes>>, talk: impl Future<Output = T>) -> T {
+    let mut talk = pin!(talk);
+    tokio::select! {
+        biased;
+        done = &mut talk => return done,
+        _ = conn => {}
+    }
+    // The connection is over; what it had to say has been handed on.
+    talk.await
+}
--- /dev/null
+++ b/src/net/sock.rs
@@ -0,0 +1,211 @@
+//! A TCP socket that hyper drives and that we can watch: what the kernel took of a message, and whether the
+//! other side has closed.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use std::time::Instant;
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use socket2::SockRef;
+use tokio::net::TcpStream;
+
+/// How much one read takes at the most.
+const CHUNK: usize = 16 * 1024;
+
+/// How much of one HTTP message the kernel has taken.
+#[derive(Default)]
+struct Progress {
+    body: usize,
+    /// The last four bytes of the head so far.
+    tail: [u8; 4],
+    /// What is missing of the body; `None` until the head is out.
+    left: Option<usize>,
+    any: bool,
+}
+
+impl Progress {
+    fn took(&mut self, bytes: &[u8]) {
+        self.any |= !bytes.is_empty();
+        let mut rest = bytes;
+        while self.left.is_none() {
+            let Some((byte, after)) = rest.split_first() else { return };
+            self.tail = [self.tail[1], self.tail[2], self.tail[3], *byte];
+            rest = after;
+            if &self.tail == b"\r\n\r\n" {
+                self.left = Some(self.body);
+            }
+        }
+        self.left = self.left.map(|left| left.saturating_sub(rest.len()));
+    }
+
+    fn whole(&self) -> bool {
+        self.left == Some(0)
+    }
+}
+
+/// What a client's connection is in the middle of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Between requests.
+    Idle,
+    /// A request has begun to come.
+    Reading,
+    /// A request is being served.
+    Busy,
+    /// Its answer is on its way out.
+    Answering,
+}
+
+/// A watched socket.
+pub struct Sock {
+    stream: TcpStream,
+    out: RefCell<Progress>,
+    phase: Cell<Phase>,
+    /// When the phase began.
+    since: Cell<Instant>,
+    /// When the request that is being read or served began to come.
+    began: Cell<Instant>,
+}
+
+impl Sock {
+    /// Takes over a connected stream and turns off Nagle's delay.
+    ///
+    /// # Errors
+    /// Where the socket is already broken.
+    pub fn new(stream: TcpStream) -> io::Result<Rc<Self>> {
+        stream.set_nodelay(true)?;
+        let now = Instant::now();
+        Ok(Rc::new(Self {
+            stream,
+            out: RefCell::default(),
+            phase: Cell::new(Phase::Idle),
+            since: Cell::new(now),
+            began: Cell::new(now),
+        }))
+    }
+
+    /// A message with so long a body is about to be written.
+    pub fn begin(&self, body: usize) {
+        *self.out.borrow_mut() = Progress { body, ..Progress::default() };
+    }
+
+    /// Has the kernel taken any byte of the message?
+    pub fn any(&self) -> bool {
+        self.out.borrow().any
+    }
+
+    /// Has the kernel taken the message's last byte?
+    pub fn whole(&self) -> bool {
+        self.out.borrow().whole()
+    }
+
+    /// What a client's connection is in the middle of, and since when.
+    pub fn phase(&self) -> (Phase, Instant) {
+        (self.phase.get(), self.since.get())
+    }
+
+    /// Enters a phase.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.set(phase);
+        self.since.set(Instant::now());
+    }
+
+    /// When the present request began to come.
+    pub fn began(&self) -> Instant {
+        self.began.get()
+    }
+
+    /// Nothing to read, and not closed by the other side. Asks the kernel, as what the runtime knows may be
+    /// a turn of its loop old.
+    pub fn quiet(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit(); 1];
+        let peeked = SockRef::from(&self.stream).peek(&mut byte);
+        matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Says that nothing more will be written, and reads what still comes until the other side closes.
+    /// Closing a socket with unread bytes resets it, and the reset can overtake the answer.
+    pub async fn linger(&self) {
+        if SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write).is_err() {
+            return;
+        }
+        let mut sink = [0; CHUNK];
+        while self.stream.readable().await.is_ok() {
+            match self.stream.try_read(&mut sink) {
+                Ok(0) => return,
+                Err(e) if e.kind() != io::ErrorKind::WouldBlock => return,
+                _ => {}
+            }
+        }
+    }
+
+    fn read(&self, bytes: usize) {
+        if bytes > 0 && self.phase.get() == Phase::Idle {
+            self.enter(Phase::Reading);
+            self.began.set(self.since.get());
+        }
+    }
+
+    fn took(&self, bytes: &[u8]) {
+        self.out.borrow_mut().took(bytes);
+        if self.phase.get() == Phase::Answering && self.whole() {
+            self.enter(Phase::Idle);
+        }
+    }
+}
+
+/// hyper's side of a watched socket.
+pub struct Io(pub Rc<Sock>);
+
+impl Read for Io {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let sock = &self.0;
+        let mut chunk = [0; CHUNK];
+        let want = buf.remaining().min(CHUNK);
+        loop {
+            ready!(sock.stream.poll_read_ready(cx))?;
+            match sock.stream.try_read(&mut chunk[..want]) {
+                Ok(n) => {
+                    sock.read(n);
+                    buf.put_slice(&chunk[..n]);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+}
+
+impl Write for Io {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let sock = &self.0;
+        loop {
+            ready!(sock.stream.poll_write_ready(cx))?;
+            match sock.stream.try_write(buf) {
+                Ok(n) => {
+                    sock.took(&buf[..n]);
+                    return Poll::Ready(Ok(n));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -116,8 +116,26 @@
     Ok((text(f.need("Name")?, "Name")?.to_string(), class))
 }
 
-/// Reads the settings of an instance, and the names of its classes and tenants.
-fn settings(value: &Value) -> Result<(Settings, Names, Names), WireError> {
+/// What the settings object says: the module's part, and what only a node on sockets needs.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// The module's settings.
+    pub settings: Settings,
+    /// The names of the classes, by index.
+    pub classes: Vec<String>,
+    /// The names of the tenants, by index.
+    pub tenants: Vec<String>,
+    /// Servers close connections that have been idle for this long.
+    pub keepalive: Millis,
+    /// The most requests that may be open at a node.
+    pub open_cap: usize,
+}
+
+/// Reads the settings object that an instance, or a node on sockets, is given.
+///
+/// # Errors
+/// Names the first field that is missing or malformed.
+pub fn told(value: &Value) -> Result<Told, WireError> {
     let f = Fields::of(value, "Options")?;
     let classes = f.list("Classes")?.iter().map(class).collect::<Result<Vec<_>, _>>()?;
     let (class_names, classes) = classes.into_iter().unzip();
@@ -170,7 +188,13 @@
         },
         tick: f.number_or("Tick", 1.0)?,
     };
-    Ok((settings, class_names, tenant_names))
+    Ok(Told {
+        settings,
+        classes: class_names,
+        tenants: tenant_names,
+        keepalive: l.number_or("Keepalive", 15_000.0)?,
+        open_cap: l.number_or("OpenCap", 20_000.0)? as usize,
+    })
 }
 
 fn outcome(word: &str) -> Result<Outcome, WireError> {
@@ -238,7 +262,7 @@
                 self.tables.insert(whole(at(1), "Table")?, entries);
             }
             "CREATE" => {
-                let (settings, classes, tenants) = settings(at(2))?;
+                let Told { settings, classes, tenants, .. } = told(at(2))?;
                 let balancer = Balancer::new(settings, whole(at(1), "Prng")?).map_err(|e| e.to_string())?;
                 self.instances.insert(me, Instance { balancer, classes, tenants });
             }
