The module says how long a refused client stays away

Cause: refusals carried no span from the module; the node made one up (0.1 s). Action::Refuse now has stay_away, within MaxRetryAfter; the adapter sends it as StayAway, the node as Retry-After in decimal seconds.

--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -16,6 +16,7 @@
             cancel: true,
             probes: true,
             connect_timeout: 50.0,
+            max_retry_after: 1000.0,
         },
         rules: Rules {
             ask_within: 10_000.0,
--- a/src/api.rs
+++ b/src/api.rs
@@ -84,6 +84,8 @@
     pub probes: bool,
     /// A connection that takes longer has failed.
     pub connect_timeout: Millis,
+    /// The longest that a refused client can be told to stay away; 0: it can't be told.
+    pub max_retry_after: Millis,
 }
 
 /// The figures of the four rules.
@@ -180,6 +182,7 @@
         let (l, r, g) = (&self.limits, &self.rules, &self.goal);
         let mut amounts = vec![
             ("limits.connect_timeout".to_string(), l.connect_timeout),
+            ("limits.max_retry_after".into(), l.max_retry_after),
             ("rules.ask_within".into(), r.ask_within),
             ("rules.warm_within".into(), r.warm_within),
             ("rules.fall_multiple".into(), r.fall_multiple),
@@ -358,7 +361,12 @@
         attempt: usize,
     },
     /// Final answer: refused; trying again is harmless.
-    Refuse(RequestId),
+    Refuse {
+        /// The request.
+        id: RequestId,
+        /// How long the client should stay away; 0: no advice.
+        stay_away: Millis,
+    },
     /// Final answer: failed.
     Fail(RequestId),
     /// Send [`Event::Timer`] after this time; an earlier one still holds.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -56,6 +56,9 @@
 /// Part of its aim that a request may be held at the node: in a burst, and in a lasting overload.
 const HOLD: (f64, f64) = (0.25, 0.1);
 
+/// Part of its aim that the client of a refused request should stay away.
+const STAY_AWAY: f64 = 0.25;
+
 /// Over which time it is counted who is served how well.
 const MEMORY: Millis = 60_000.0;
 /// How far above the worst served part a class or tenant still counts nearly as the worst.
@@ -1006,7 +1009,8 @@
         let Some(request) = self.requests.get(&id) else { return };
         let class = &self.set.classes[request.class];
         if request.may_repeat(class, &self.set.limits, self.now, None) {
-            actions.push(Action::Refuse(id));
+            let stay_away = (STAY_AWAY * class.aim).min(self.set.limits.max_retry_after);
+            actions.push(Action::Refuse { id, stay_away });
         } else {
             actions.push(Action::Fail(id));
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 //!     goal: Goal { worth: 1.0, ..Goal::default() },
 //!     limits: Limits {
 //!         attempts: 3, second_copies: false, cancel: true, probes: false, connect_timeout: 50.0,
+//!         max_retry_after: 1_000.0,
 //!     },
 //!     rules: Rules {
 //!         ask_within: 10_000.0, cold_share: 0.2, warm_within: 20_000.0, fall_multiple: 3.0, fall_window: 1_000.0,
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -16,7 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::timeout;
-use tulipmount::{Effect, RequestId};
+use tulipmount::{Effect, Millis, RequestId};
 
 use super::log;
 use super::node::{Answer, Node, Reply};
@@ -289,7 +289,7 @@
     let last = arrived + remaining;
     let before = |margin: Duration| last - margin.min(remaining / 2);
     if !node.has_room() {
-        return refusal(node);
+        return refusal(0.0);
     }
     let (id, answered) = node.request(asked, before(MARGIN));
     let mut owed = Owed { node: node.clone(), id, answered: false };
@@ -299,7 +299,7 @@
             owed.answered = true;
             match answer {
                 Answer::Served(reply) => served(reply),
-                Answer::Refused => refusal(node),
+                Answer::Refused(stay_away) => refusal(stay_away),
                 Answer::Failed => plain(StatusCode::BAD_GATEWAY),
             }
         }
@@ -313,9 +313,14 @@
     answer
 }
 
-fn refusal(_node: &Node) -> Response<Full<Bytes>> {
+/// A refusal, with the module's word on when to come back in decimal seconds.
+fn refusal(stay_away: Millis) -> Response<Full<Bytes>> {
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
-    answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("0.1"));
+    if stay_away > 0.0 {
+        if let Ok(span) = HeaderValue::from_str(&format!("{:.3}", stay_away / 1000.0)) {
+            answer.headers_mut().insert(RETRY_AFTER, span);
+        }
+    }
     answer
 }
 
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -27,8 +27,8 @@
 pub enum Answer {
     /// A server's answer.
     Served(Reply),
-    /// Refused: trying again is harmless.
-    Refused,
+    /// Refused: trying again is harmless, after this time.
+    Refused(Millis),
     /// Failed.
     Failed,
 }
@@ -59,7 +59,7 @@
 
     /// Unix time in the module's; the same offset for the node's whole life, as the module takes another
     /// start time for a restart.
-    fn from_unix(&self, unix_ms: Millis) -> Option<Millis> {
+    fn at_unix(&self, unix_ms: Millis) -> Option<Millis> {
         (unix_ms > 0.0).then_some(unix_ms - self.unix_start)
     }
 }
@@ -301,7 +301,7 @@
         match action {
             Action::Send { id, server, timeout } => self.send(id, server, timeout),
             Action::Cancel { id, attempt } => self.cancel(id, attempt),
-            Action::Refuse(id) => self.answer(id, Answer::Refused),
+            Action::Refuse { id, stay_away } => self.answer(id, Answer::Refused(stay_away)),
             Action::Fail(id) => self.answer(id, Answer::Failed),
             Action::SetTimer(after) => self.set_timer(after),
             Action::Subscribe => self.subscribe(),
@@ -438,7 +438,7 @@
             kind: number_of(&host.kind),
             state,
             weight: host.weight,
-            started: self.clock.from_unix(host.born_ms),
+            started: self.clock.at_unix(host.born_ms),
         })
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -167,6 +167,11 @@
             cancel: l.flag_or("Cancel", false)?,
             probes: l.flag_or("Probes", false)?,
             connect_timeout: l.number("ConnectTimeout")?,
+            max_retry_after: if l.flag_or("RetryAfter", false)? {
+                l.number_or("MaxRetryAfter", 0.0)?
+            } else {
+                0.0
+            },
         },
         rules: Rules {
             ask_within: r.number_or("AskWithin", 10_000.0)?,
@@ -220,7 +225,7 @@
     match action {
         Action::Send { id, server, timeout } => json!(["SUBMIT_TO", id.0, server.0, timeout.unwrap_or(0.0)]),
         Action::Cancel { id, attempt } => json!(["ABORT_ATTEMPT", id.0, attempt]),
-        Action::Refuse(id) => json!(["NOT_NOW", id.0]),
+        Action::Refuse { id, stay_away } => json!(["NOT_NOW", id.0, stay_away]),
         Action::Fail(id) => json!(["GIVE_UP", id.0]),
         Action::SetTimer(after) => json!(["WAKE_AT", after, 0]),
         Action::Subscribe => json!(["LISTEN", true]),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -32,6 +32,7 @@
             cancel: true,
             probes: true,
             connect_timeout: 50.0,
+            max_retry_after: 1000.0,
         },
         rules: Rules {
             ask_within: 10_000.0,
@@ -166,7 +167,7 @@
 }
 
 pub fn refused(actions: &[Action], request: RequestId) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Refuse(id) if *id == request))
+    actions.iter().any(|a| matches!(a, Action::Refuse { id, .. } if *id == request))
 }
 
 pub fn failed(actions: &[Action], request: RequestId) -> bool {
@@ -259,7 +260,7 @@
                     self.check_cold(settings, now, *server, age);
                 }
             }
-            Action::Refuse(id) => {
+            Action::Refuse { id, .. } => {
                 let Some(held) = self.requests.get_mut(id) else { return note(format!("{id:?} is unknown")) };
                 let ran = held.attempts.iter().any(|a| !a.3.is_some_and(Outcome::never_ran));
                 if ran && settings.classes[held.class].effect != Effect::Safe {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -85,7 +85,7 @@
                         out.cancelled = true;
                     }
                 }
-                Action::Refuse(id) | Action::Fail(id) => {
+                Action::Refuse { id, .. } | Action::Fail(id) => {
                     self.open.remove(&id);
                 }
                 _ => {}
@@ -224,7 +224,7 @@
 #[test]
 fn the_referee_catches_a_refusal_of_what_may_have_run() {
     caught("rule 2", |a| match a {
-        Action::Fail(id) => Some(Action::Refuse(*id)),
+        Action::Fail(id) => Some(Action::Refuse { id: *id, stay_away: 0.0 }),
         a => Some(a.clone()),
     });
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -460,7 +460,10 @@
     all.extend(node.event(again));
     all.extend(node.wait(600.0));
     assert!(sends(&all).len() <= 1, "{all:?}");
-    let answers = all.iter().filter(|a| matches!(a, Action::Fail(x) | Action::Refuse(x) if *x == id)).count();
+    let answers = all
+        .iter()
+        .filter(|a| matches!(a, Action::Fail(x) | Action::Refuse { id: x, .. } if *x == id))
+        .count();
     assert!(answers <= 1, "{all:?}");
 }
 
@@ -548,3 +551,25 @@
     let each = (node.now - start) / served as f64;
     assert!(served >= 10 && each > 9.0, "{served} served, {each} ms from one to the next");
 }
+
+/// A refusal says when to come back: a part of the aim, and no more than clients will follow.
+#[test]
+fn a_refusal_says_how_long_to_stay_away() {
+    let span = |most: f64| {
+        let mut set = settings();
+        set.limits.max_retry_after = most;
+        let mut node = Node::new(set, Vec::new());
+        let (_, actions) = node.ask_with(SAFE, None, 1.0);
+        actions.iter().find_map(|a| {
+            if let Action::Refuse { stay_away, .. } = a {
+                Some(*stay_away)
+            } else {
+                None
+            }
+        })
+    };
+    let free = span(1000.0).expect("refused: no server, and no time");
+    assert!(free > 0.0 && free < 100.0, "{free}");
+    assert_eq!(span(1.0), Some(1.0));
+    assert_eq!(span(0.0), Some(0.0));
+}
