--- a/src/main.rs
+++ b/src/main.rs
@@ -64,7 +64,8 @@
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signal: {e}"))?;
     let listener = listen(&config).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let node = Node::new(config).map_err(|e| format!("settings: {e}"))?;
-    log::line(format!("{} listens at {}", node.config.name, node.config.listen));
+    let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
+    log::line(format!("{} listens at {address}", node.config.name));
     let clients = Clients::new(node.clone());
     spawn_local(node.clone().run_timer());
     spawn_local(sweep(node.clone(), clients.clone()));
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -14,7 +14,7 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{oneshot, Notify};
 use tokio::time::timeout;
 use tulipmount::{Effect, Millis, RequestId};
 
@@ -293,20 +293,23 @@
     }
     let (id, answered) = node.request(asked, before(MARGIN));
     let mut owed = Owed { node: node.clone(), id, answered: false };
-    // Whatever becomes of the module's timers and attempts, the client gets its answer in time.
-    match tokio::time::timeout_at(before(GUARD).into(), answered).await {
-        Ok(Ok(answer)) => {
-            owed.answered = true;
-            match answer {
-                Answer::Served(reply) => served(reply),
-                Answer::Refused(stay_away) => refusal(stay_away),
-                Answer::Failed => plain(StatusCode::BAD_GATEWAY),
-            }
-        }
-        Ok(Err(_)) | Err(_) => plain(StatusCode::GATEWAY_TIMEOUT),
+    let Some(answer) = in_time(before(GUARD), answered).await else {
+        return plain(StatusCode::GATEWAY_TIMEOUT);
+    };
+    owed.answered = true;
+    match answer {
+        Answer::Served(reply) => served(reply),
+        Answer::Refused(stay_away) => refusal(stay_away),
+        Answer::Failed => plain(StatusCode::BAD_GATEWAY),
     }
 }
 
+/// The answer, if it comes in time. Whatever becomes of the module's timers and attempts, the client is not
+/// kept waiting past that.
+async fn in_time(last: Instant, answered: oneshot::Receiver<Answer>) -> Option<Answer> {
+    tokio::time::timeout_at(last.into(), answered).await.ok()?.ok()
+}
+
 fn served(reply: Reply) -> Response<Full<Bytes>> {
     let mut answer = Response::new(Full::new(reply.body));
     *answer.headers_mut() = reply.headers;
@@ -402,3 +405,25 @@
     }
     Ok(Duration::from_millis(remaining.min(LONGEST)))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// An answer that never comes must not keep the client past its deadline.
+    #[test]
+    fn the_guard_ends_the_wait_for_an_answer() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(async {
+            let (module, answered) = oneshot::channel();
+            let guarded = in_time(Instant::now() + Duration::from_millis(50), answered);
+            let ended = timeout(Duration::from_secs(20), guarded).await;
+            assert!(matches!(ended, Ok(None)));
+            drop(module);
+            let (module, answered) = oneshot::channel();
+            assert!(module.send(Answer::Refused(1.0)).is_ok());
+            let guarded = in_time(Instant::now() + Duration::from_secs(20), answered);
+            assert!(matches!(guarded.await, Some(Answer::Refused(_))));
+        });
+    }
+}
--- /dev/null
+++ b/tests/peers/mod.rs
@@ -0,0 +1,432 @@
+//! The real program between scripted peers on loopback sockets.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+
+/// How long anything that should happen is waited for: far more than it takes, on a busy machine too.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Waits until the condition holds.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "waited in vain: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+// ---- Messages ----
+
+/// A request or an answer.
+#[derive(Clone, Debug)]
+pub struct Message {
+    pub head: String,
+    pub body: Vec<u8>,
+    /// The connection that it came on, counted from 1.
+    pub conn: usize,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().skip(1).find_map(|line| {
+            let (key, value) = line.split_once(':')?;
+            key.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+
+    pub fn status(&self) -> u16 {
+        self.head.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status line")
+    }
+
+    pub fn path(&self) -> &str {
+        self.head.split(' ').nth(1).expect("a request line")
+    }
+}
+
+/// Reads one message; `None` where the connection ends.
+fn read_message(from: &mut BufReader<TcpStream>, conn: usize) -> Option<Message> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if from.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    let mut message = Message { head, body: Vec::new(), conn };
+    let length = message.header("content-length").map_or(0, |v| v.parse().expect("a length"));
+    message.body = vec![0; length];
+    from.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+/// An answer with a body.
+pub fn answer(status: u16, headers: &str, body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+// ---- Servers ----
+
+/// What a scripted server does with a request.
+pub enum Say {
+    /// Answers.
+    This(Vec<u8>),
+    /// Writes that and closes.
+    Last(Vec<u8>),
+    /// Answers after a while.
+    Later(Duration, Vec<u8>),
+    /// Stays silent.
+    Nothing,
+}
+
+pub struct Peer {
+    pub address: SocketAddr,
+    seen: Arc<Mutex<Vec<Message>>>,
+    open: Arc<AtomicUsize>,
+}
+
+impl Peer {
+    /// A server that follows a script.
+    pub fn new(script: impl Fn(&Message) -> Say + Send + Sync + 'static) -> Self {
+        Self::on(TcpListener::bind("127.0.0.1:0").expect("a port"), script)
+    }
+
+    pub fn on(listener: TcpListener, script: impl Fn(&Message) -> Say + Send + Sync + 'static) -> Self {
+        let address = listener.local_addr().expect("bound");
+        let (seen, open) = (Arc::new(Mutex::new(Vec::new())), Arc::new(AtomicUsize::new(0)));
+        let peer = Self { address, seen: seen.clone(), open: open.clone() };
+        let script = Arc::new(script);
+        std::thread::spawn(move || {
+            for (conn, stream) in (1..).zip(listener.incoming()) {
+                let (seen, open, script) = (seen.clone(), open.clone(), script.clone());
+                let Ok(stream) = stream else { return };
+                open.fetch_add(1, Ordering::SeqCst);
+                std::thread::spawn(move || {
+                    converse(stream, conn, &seen, &*script);
+                    open.fetch_sub(1, Ordering::SeqCst);
+                });
+            }
+        });
+        peer
+    }
+
+    /// A server that serves everything, and says who it is.
+    pub fn good(name: &'static str) -> Self {
+        Self::new(move |_| Say::This(answer(200, "", name)))
+    }
+
+    /// The requests that came, without probes.
+    pub fn seen(&self) -> Vec<Message> {
+        let seen = self.seen.lock().expect("no panic");
+        seen.iter().filter(|m| m.path() != "/health").cloned().collect()
+    }
+
+    /// How many connections are open.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+}
+
+fn converse(stream: TcpStream, conn: usize, seen: &Mutex<Vec<Message>>, script: &dyn Fn(&Message) -> Say) {
+    let Ok(mut out) = stream.try_clone() else { return };
+    let mut from = BufReader::new(stream);
+    while let Some(message) = read_message(&mut from, conn) {
+        seen.lock().expect("no panic").push(message.clone());
+        let (bytes, last) = match script(&message) {
+            Say::This(bytes) => (bytes, false),
+            Say::Last(bytes) => (bytes, true),
+            Say::Later(span, bytes) => {
+                std::thread::sleep(span);
+                (bytes, false)
+            }
+            Say::Nothing => (Vec::new(), false),
+        };
+        if out.write_all(&bytes).is_err() || last {
+            break;
+        }
+    }
+    let _ = out.shutdown(std::net::Shutdown::Both);
+}
+
+// ---- Discovery ----
+
+/// An entry of the list.
+pub fn host(name: &str, at: SocketAddr, health: &str, cell: u64) -> Value {
+    json!({"host": name, "dial": at.to_string(), "site": "a", "class": "m", "block": cell,
+        "health": health, "share": 1.0, "born_ms": 0})
+}
+
+pub fn line(seq: u64, whole: bool, hosts: &[Value]) -> String {
+    json!({"seq": seq, "whole": whole, "hosts": hosts}).to_string()
+}
+
+#[derive(Default)]
+struct Told {
+    whole: String,
+    /// Lines for the watches that are open.
+    news: Vec<String>,
+    down: bool,
+    /// Raised to end all watches.
+    epoch: usize,
+    calls: Vec<String>,
+    watches: usize,
+}
+
+/// Discovery: the whole list at first, then the news.
+#[derive(Clone)]
+pub struct Registry {
+    pub address: SocketAddr,
+    told: Arc<Mutex<Told>>,
+}
+
+impl Registry {
+    pub fn new(hosts: &[Value]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let told = Arc::new(Mutex::new(Told { whole: line(1, true, hosts), ..Told::default() }));
+        let registry = Self { address: listener.local_addr().expect("bound"), told };
+        let this = registry.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let this = this.clone();
+                std::thread::spawn(move || this.serve(stream));
+            }
+        });
+        registry
+    }
+
+    fn with<T>(&self, f: impl FnOnce(&mut Told) -> T) -> T {
+        f(&mut self.told.lock().expect("no panic"))
+    }
+
+    fn serve(&self, stream: TcpStream) -> Option<()> {
+        let mut out = stream.try_clone().ok()?;
+        let request = read_message(&mut BufReader::new(stream), 0)?;
+        let (whole, down, epoch, mut place) = self.with(|t| {
+            t.calls.push(request.path().to_string());
+            (t.whole.clone(), t.down, t.epoch, t.news.len())
+        });
+        if down {
+            return None;
+        }
+        if !request.path().contains("watch") {
+            return out.write_all(&answer(200, "", &whole)).ok();
+        }
+        out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
+        let mut say = |line: &str| write!(out, "{:x}\r\n{line}\n\r\n", line.len() + 1);
+        say(&whole).ok()?;
+        self.with(|t| t.watches += 1);
+        let mut quiet = Instant::now();
+        loop {
+            let (now_epoch, news) = self.with(|t| (t.epoch, t.news[place..].to_vec()));
+            if now_epoch != epoch {
+                return None;
+            }
+            place += news.len();
+            for line in &news {
+                say(line).ok()?;
+            }
+            if quiet.elapsed() > Duration::from_millis(500) {
+                say("").ok()?;
+                quiet = Instant::now();
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Tells all watches, and has the list as `hosts` from now on.
+    pub fn tell(&self, seq: u64, hosts: &[Value], changes: &[Value]) {
+        self.with(|t| {
+            t.whole = line(seq, true, hosts);
+            t.news.push(line(seq, false, changes));
+        });
+    }
+
+    /// Says something else to all watches.
+    pub fn say(&self, words: &str) {
+        self.with(|t| t.news.push(words.to_string()));
+    }
+
+    /// Goes down, or comes back; watches end.
+    pub fn down(&self, down: bool) {
+        self.with(|t| {
+            (t.down, t.epoch) = (down, t.epoch + 1);
+        });
+    }
+
+    pub fn calls(&self) -> Vec<String> {
+        self.with(|t| t.calls.clone())
+    }
+
+    /// How many watches were ever begun.
+    pub fn watches(&self) -> usize {
+        self.with(|t| t.watches)
+    }
+}
+
+// ---- The node ----
+
+/// A configuration whose classes are `look` (safe), `pay` (keyed) and `slip` (unsafe).
+pub fn config(discovery: SocketAddr) -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"Name": name, "Idempotency": effect, "DedupScope": "cell", "MemorySpan": 20000.0, "Slo": 8000.0,
+            "Deadline": 20000.0, "Value": 1.0, "LateValue": 0.5, "Stream": false})
+    };
+    json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "known": null,
+        "settings": {
+            "Classes": [class("look", "pure"), class("pay", "token"), class("slip", "side_effect")],
+            "Contract": {"AnswerSlack": 20.0, "AskWithin": 10000.0, "ColdShare": 0.14, "DrainGrace": 500.0,
+                "Fall": 2000.0, "FallMultiple": 3.0, "WarmWithin": 24000.0},
+            "Customers": [], "Discovery": "subscribe", "Family": "proxy",
+            "Limits": {"AttemptsCap": 3, "Cancel": true, "ConnectTimeout": 2000.0, "Keepalive": 60000.0,
+                "MaxRetryAfter": 2000.0, "MayDuplicate": true, "OpenCap": 20000, "Probes": true,
+                "RetryAfter": true},
+            "Me": 0, "PeersTotal": 1, "Tick": 5.0, "Weights": "nominal", "MyZone": "a", "Zones": ["a"]}})
+}
+
+pub struct Node {
+    child: Child,
+    pub address: SocketAddr,
+    log: Arc<Mutex<Vec<String>>>,
+}
+
+fn command(config: &Value, descriptors: Option<usize>) -> Command {
+    static COUNT: AtomicUsize = AtomicUsize::new(0);
+    let count = COUNT.fetch_add(1, Ordering::SeqCst);
+    let file = format!("{}/config-{}-{count}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    std::fs::write(&file, config.to_string()).expect("a file");
+    let program = env!("CARGO_BIN_EXE_glenwood");
+    let mut command = match descriptors {
+        None => Command::new(program),
+        Some(n) => {
+            let mut shell = Command::new("sh");
+            shell.arg("-c").arg(format!("ulimit -n {n}; exec '{program}'"));
+            shell
+        }
+    };
+    for name in ["NAME", "LISTEN", "DISCOVERY"] {
+        command.env_remove(format!("BALANCER_{name}"));
+    }
+    command.env("BALANCER_CONFIG", file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+    command
+}
+
+/// Runs a node that should not come up: its exit code and what it says.
+pub fn run(config: &Value) -> (Option<i32>, String) {
+    let output = command(config, None).output().expect("it runs");
+    (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+}
+
+impl Node {
+    /// Starts a node and waits until it listens.
+    pub fn listening(config: &Value, descriptors: Option<usize>) -> Self {
+        let mut child = command(config, descriptors).spawn().expect("it starts");
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let lines = log.clone();
+        let errors = BufReader::new(child.stderr.take().expect("piped"));
+        std::thread::spawn(move || {
+            for line in errors.lines().map_while(Result::ok) {
+                lines.lock().expect("no panic").push(line);
+            }
+        });
+        let mut address = None;
+        until("the node listens", || {
+            let lines = log.lock().expect("no panic");
+            let find = |l: &String| l.split_once(" listens at ").and_then(|(_, a)| a.parse().ok());
+            address = lines.iter().find_map(find);
+            address.is_some()
+        });
+        Self { child, address: address.expect("found"), log }
+    }
+
+    /// Starts a node and waits until it is ready.
+    pub fn ready(config: &Value) -> Self {
+        let node = Self::listening(config, None);
+        node.wait_ready();
+        node
+    }
+
+    pub fn wait_ready(&self) {
+        until("the node is ready", || {
+            Client::to(self).ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200
+        });
+    }
+
+    pub fn logged(&self, words: &str) -> bool {
+        self.log.lock().expect("no panic").iter().any(|l| l.contains(words))
+    }
+
+    pub fn terminate(&self) {
+        let killed = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+        assert!(killed.expect("kill runs").success());
+    }
+
+    pub fn running(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_none()
+    }
+
+    pub fn exit_code(&mut self) -> Option<i32> {
+        until("the node ends", || !self.running());
+        self.child.wait().expect("it ended").code()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+// ---- Clients ----
+
+/// A request of a class as a client would send it.
+pub fn request(class: &str, txn: &str, remaining: u64) -> String {
+    let (method, key) = match class {
+        "look" => ("GET", ""),
+        "pay" => ("POST", "Idempotency-Key: k1\r\n"),
+        _ => ("POST", ""),
+    };
+    let body = if method == "POST" { "Content-Length: 4\r\n\r\nwork" } else { "\r\n" };
+    format!(
+        "{method} /{class}/7?q=a%20b HTTP/1.1\r\nHost: service.internal\r\nX-Txn: {txn}\r\nX-Remaining-Ms: {remaining}\r\n{key}{body}"
+    )
+}
+
+pub struct Client {
+    out: TcpStream,
+    from: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn to(node: &Node) -> Self {
+        let out = TcpStream::connect(node.address).expect("the node listens");
+        out.set_read_timeout(Some(PATIENCE)).expect("a socket");
+        let from = BufReader::new(out.try_clone().expect("a socket"));
+        Self { out, from }
+    }
+
+    pub fn send(&mut self, words: &str) {
+        self.out.write_all(words.as_bytes()).expect("the node reads");
+    }
+
+    /// The next answer; `None` where the connection ends first.
+    pub fn hear(&mut self) -> Option<Message> {
+        read_message(&mut self.from, 0)
+    }
+
+    pub fn ask(&mut self, words: &str) -> Message {
+        self.send(words);
+        self.hear().expect("an answer")
+    }
+
+    /// Has the node closed the connection? Waits for it.
+    pub fn ended(&mut self) -> bool {
+        matches!(self.from.read(&mut [0; 64]), Ok(0))
+    }
+}
