A keyed request alone in its cell goes again to its server

Seen: the loopback test of outcomes took 36 s; a keyed request whose server answered 500, with no other server in its cell, got its failure only after most of its time. Checked: the attempt's end reached the module at once (not the sockets). To blame: Balancer::further asks may_repeat, which the same server passes, while may_go forbade the server that failed last unless the whole subset was one server: the request was held for nobody. Test of rules.rs fails without the change.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -824,13 +824,15 @@
         near.iter().zip(&asked).map(weight).collect()
     }
 
-    /// May the request go to this server? Not again to the one that just failed it, unless there is no other.
+    /// May the request go to this server? Not again to the one that just failed it, unless it may go to no
+    /// other: one that is bound to the cell of its first attempt would else be held for nothing.
     fn may_go(&self, id: RequestId, to: &Server) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
         let class = &self.set.classes[request.class];
-        let again = request.attempts.last().is_some_and(|a| a.server == to.entry.server);
-        (!again || self.subset.len() == 1)
-            && request.may_repeat(class, &self.set.limits, self.now, Some(&to.entry))
+        let may = |s: &Server| request.may_repeat(class, &self.set.limits, self.now, Some(&s.entry));
+        let last = request.attempts.last().map(|a| a.server);
+        let again = last == Some(to.entry.server);
+        may(to) && !(again && self.rotated().any(|s| Some(s.entry.server) != last && may(s)))
     }
 
     fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -573,3 +573,18 @@
     assert_eq!(span(1.0), Some(1.0));
     assert_eq!(span(0.0), Some(0.0));
 }
+
+/// A keyed request bound to the cell of a server that is alone in it goes there again rather than being held
+/// for a server that may never have it.
+#[test]
+fn a_keyed_request_goes_again_to_the_only_server_of_its_cell() {
+    let mut node = Node::new(settings(), vec![entry(1, 1.0), entry(2, 1.0)]);
+    let (id, actions) = node.ask(KEYED);
+    let to = |actions: &[Action]| {
+        actions.iter().find_map(|a| if let Action::Send { server, .. } = a { Some(*server) } else { None })
+    };
+    let first = to(&actions).expect("sent");
+    node.now += 10.0;
+    let actions = node.end(id, Outcome::Error);
+    assert_eq!(to(&actions), Some(first));
+}
