SIGHUP moves discovery; a connection that was busy while its server moved is not kept

Checked before: config::parse let the environment go before the file, with which a reload would have changed nothing (the test starts the node with BALANCER_DISCOVERY set).

Change: the handler is installed first; the file is read again and wins over the environment; a bad one is logged and changes nothing. The node drops the old call, forgets the list's version, and tells the module that discovery moved, which asks at once and without backoff. The list is kept until the new one comes.

Connections now carry the place and life of the server they lead to.

--- a/src/api.rs
+++ b/src/api.rs
@@ -292,6 +292,8 @@
     ListChange(Vec<Entry>),
     /// Asking failed, or the subscription dropped.
     ListFailed,
+    /// Discovery is elsewhere from now on: what was asked of it so far is void.
+    DiscoveryMoved,
     /// A client asks for something; one final answer is owed from now on.
     Request {
         /// The request.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -340,6 +340,8 @@
             Event::List { entries, saved } => self.on_list(entries, !saved, true),
             Event::ListChange(entries) => self.on_list(entries, true, false),
             Event::ListFailed => self.on_list_failed(),
+            // Whatever backoff the old address had earned, the new one is asked at once.
+            Event::DiscoveryMoved => self.call = Call::AskAt(now, 0),
             Event::Request { id, class, tenant, deadline } => {
                 self.on_request(id, class, tenant, deadline, actions);
             }
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,7 +13,7 @@
 use net::log;
 use net::node::Node;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 
 /// How long connections still come after SIGTERM.
@@ -66,6 +66,8 @@
 async fn serve(config: Config) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signal: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signal: {e}"))?;
+    // Without a handler SIGHUP ends the process, and with it all that it has taken.
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signal: {e}"))?;
     let listener = listen(&config).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let node = Node::new(config).map_err(|e| format!("settings: {e}"))?;
     let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
@@ -73,6 +75,7 @@
     let clients = Clients::new(node.clone());
     spawn_local(node.clone().run_timer());
     spawn_local(sweep(node.clone(), clients.clone()));
+    spawn_local(reload(node.clone(), hangup));
     tokio::select! {
         () = clients.accept(&listener) => {}
         _ = terminate.recv() => {}
@@ -82,6 +85,20 @@
     Ok(())
 }
 
+/// Takes over what a new configuration says of discovery, also while the node stops. A file that can't be read
+/// changes nothing. Signals that come in quick succession are one: the file is read after the last.
+async fn reload(node: Rc<Node>, mut hangup: Signal) {
+    while hangup.recv().await.is_some() {
+        match config::reload() {
+            Ok(config) => {
+                log::line(format!("reload: discovery is {}", config.discovery));
+                node.move_discovery(config.discovery);
+            }
+            Err(words) => log::line(format!("reload: {words}; the old configuration stays")),
+        }
+    }
+}
+
 async fn sweep(node: Rc<Node>, clients: Rc<Clients>) {
     loop {
         tokio::time::sleep(SWEEP).await;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -35,10 +35,22 @@
 /// # Errors
 /// One line that names the field.
 pub fn load() -> Result<Config, String> {
+    parse(&file()?, |name| std::env::var(name).ok())
+}
+
+/// Reads the file again. The environment is that of the start: what it says of discovery is what the file now
+/// replaces, so here the file goes first. The rest of the environment still holds.
+///
+/// # Errors
+/// One line that names the field.
+pub fn reload() -> Result<Config, String> {
+    parse(&file()?, |name| std::env::var(name).ok().filter(|_| name != "BALANCER_DISCOVERY"))
+}
+
+fn file() -> Result<Value, String> {
     let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG: not set".to_string())?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("BALANCER_CONFIG: {path}: {e}"))?;
-    let value: Value = serde_json::from_str(&text).map_err(|e| format!("BALANCER_CONFIG: not JSON: {e}"))?;
-    parse(&value, |name| std::env::var(name).ok())
+    serde_json::from_str(&text).map_err(|e| format!("BALANCER_CONFIG: not JSON: {e}"))
 }
 
 /// Reads a configuration; what the environment names goes before what the file says.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -23,8 +23,9 @@
 const LINE_MOST: usize = 4 << 20;
 /// How long a connection may take.
 const CONNECT: Duration = Duration::from_millis(1000);
-/// How long a call may wait in the service's queue.
-const FIRST: Duration = Duration::from_millis(4500);
+/// How long a call may wait in the service's queue. The service itself fails calls after 3 s; with no answer at all
+/// there must be time for another call before news counts as told, 4 s after a reload.
+const FIRST: Duration = Duration::from_millis(3400);
 /// A watch brings a line every 2 s: a longer silence is a dead link, which TCP alone would not notice.
 const SILENCE: Duration = Duration::from_millis(3200);
 
@@ -195,7 +196,7 @@
 
 async fn call(node: &Rc<Node>, path: &str) -> Result<Call, Ended> {
     let broken = |words: &str| Ended::Broken(words.to_string());
-    let to = node.config.discovery;
+    let to = node.discovery.get();
     let stream = timeout(CONNECT, TcpStream::connect(to)).await.map_err(|_| broken("no connection"))?;
     let sock = stream.and_then(Sock::new).map_err(|e| broken(&e.to_string()))?;
     let (mut send, conn) = http1::handshake(Io(sock)).await?;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -79,6 +79,14 @@
     task: Option<AbortHandle>,
 }
 
+/// One life of a server: a connection to another one is of no use.
+#[derive(Clone, Copy, PartialEq)]
+pub struct Place {
+    /// Where it listens.
+    pub dial: SocketAddr,
+    born_ms: f64,
+}
+
 /// What is known of a server besides what the module knows.
 struct Host {
     name: String,
@@ -106,6 +114,8 @@
 pub struct Node {
     /// Its configuration.
     pub config: Config,
+    /// Where discovery is now; a reload moves it.
+    pub discovery: Cell<SocketAddr>,
     /// Its connections to servers.
     pub pool: Pool,
     /// Set once the node is to end: answers then close their connections.
@@ -146,6 +156,7 @@
         };
         let node = Rc::new(Self {
             pool: Pool::new(&config),
+            discovery: Cell::new(config.discovery),
             config,
             closing: Cell::new(false),
             clock: Clock::new(),
@@ -374,6 +385,20 @@
         }
     }
 
+    /// Discovery is at another address from now on. The list is kept; its version may mean nothing there, so the
+    /// whole is asked for, at once. Ending the old call first keeps its late lines out.
+    pub fn move_discovery(self: &Rc<Self>, to: SocketAddr) {
+        self.discovery.set(to);
+        {
+            let mut state = self.state.borrow_mut();
+            state.version = None;
+            if let Some(old) = state.call.take() {
+                old.abort();
+            }
+        }
+        self.feed(Event::DiscoveryMoved);
+    }
+
     /// The version to watch from; `None` where the whole list is needed first.
     pub fn version(&self) -> Option<u64> {
         self.state.borrow().version
@@ -451,10 +476,11 @@
         })
     }
 
-    /// Where a server listens, if something new may be sent to it.
-    pub fn dial(&self, server: ServerId) -> Option<SocketAddr> {
+    /// Where a server listens and which of its lives this is, if something new may be sent to it.
+    pub fn place(&self, server: ServerId) -> Option<Place> {
         let state = self.state.borrow();
-        state.hosts.get(&server).filter(|h| h.state == Listed::Up).map(|h| h.dial)
+        let host = state.hosts.get(&server).filter(|h| h.state == Listed::Up)?;
+        Some(Place { dial: host.dial, born_ms: host.born_ms })
     }
 }
 
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -3,7 +3,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -20,7 +19,7 @@
 
 use super::clients::{end_to_end, Asked};
 use super::config::Config;
-use super::node::{Node, Reply};
+use super::node::{Node, Place, Reply};
 use super::sock::{Io, Sock};
 
 /// The largest body that is passed on.
@@ -44,6 +43,8 @@
     sock: Rc<Sock>,
     send: SendRequest<Full<Bytes>>,
     conn: Connection<Io, Full<Bytes>>,
+    /// Whom it leads to.
+    place: Place,
     since: Instant,
     _held: Held,
 }
@@ -124,13 +125,13 @@
 
     /// A new connection, or how the attempt ends without one. A node that has no descriptor or port left has
     /// sent nothing, but that says nothing of the server: as a failed connect it would eject a good one.
-    async fn connect(&self, dial: SocketAddr) -> Result<Link, Outcome> {
+    async fn connect(&self, place: Place) -> Result<Link, Outcome> {
         if self.held.get() >= self.most && !self.evict() {
             return Err(Outcome::NotSent);
         }
         self.held.set(self.held.get() + 1);
         let held = Held(self.held.clone());
-        let stream = match timeout(self.connect, TcpStream::connect(dial)).await {
+        let stream = match timeout(self.connect, TcpStream::connect(place.dial)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if OWN_ERRORS.contains(&error.raw_os_error().unwrap_or(0)) => {
                 self.evict();
@@ -142,7 +143,7 @@
         let sock = Sock::new(stream).map_err(|_| failed)?;
         let builder = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(Io(sock.clone())).await;
         let (send, conn) = builder.map_err(|_| failed)?;
-        Ok(Link { sock, send, conn, since: Instant::now(), _held: held })
+        Ok(Link { sock, send, conn, place, since: Instant::now(), _held: held })
     }
 }
 
@@ -187,17 +188,18 @@
     let mut pooled = node.pool.take(server);
     loop {
         // A drain holds from the moment it is told, also for what waited on a connection until now.
-        let Some(dial) = node.dial(server) else { return (Outcome::NotSent, None) };
+        let Some(place) = node.place(server) else { return (Outcome::NotSent, None) };
+        pooled = pooled.filter(|link| link.place == place);
         let reused = pooled.is_some();
         let link = match pooled.take() {
             Some(link) => Ok(link),
-            None => timeout_at(end.into(), node.pool.connect(dial)).await.unwrap_or(Err(Outcome::NotSent)),
+            None => timeout_at(end.into(), node.pool.connect(place)).await.unwrap_or(Err(Outcome::NotSent)),
         };
         let mut link = match link {
             Ok(link) => link,
             Err(outcome) => return (outcome, None),
         };
-        if node.dial(server) != Some(dial) {
+        if node.place(server) != Some(place) {
             return (Outcome::NotSent, None);
         }
         link.sock.begin(asked.body.len());
@@ -214,6 +216,8 @@
                     && whole
                     && link.sock.heard_just(heard.reply.body.len(), heard.chunked)
                     && link.sock.quiet()
+                    // Busy while its server moved or restarted, it escaped the pool's forgetting.
+                    && node.place(server) == Some(place)
                 {
                     node.pool.put(server, link);
                 }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -307,11 +307,12 @@
 
 pub struct Node {
     child: Child,
+    file: String,
     pub address: SocketAddr,
     log: Arc<Mutex<Vec<String>>>,
 }
 
-fn command(config: &Value, descriptors: Option<usize>) -> Command {
+fn command(config: &Value, descriptors: Option<usize>) -> (Command, String) {
     static COUNT: AtomicUsize = AtomicUsize::new(0);
     let count = COUNT.fetch_add(1, Ordering::SeqCst);
     let file = format!("{}/config-{}-{count}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
@@ -328,20 +329,33 @@
     for name in ["NAME", "LISTEN", "DISCOVERY"] {
         command.env_remove(format!("BALANCER_{name}"));
     }
-    command.env("BALANCER_CONFIG", file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
-    command
+    command.env("BALANCER_CONFIG", &file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+    (command, file)
 }
 
 /// Runs a node that should not come up: its exit code and what it says.
 pub fn run(config: &Value) -> (Option<i32>, String) {
-    let output = command(config, None).output().expect("it runs");
+    let output = command(config, None).0.output().expect("it runs");
     (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
 }
 
 impl Node {
     /// Starts a node and waits until it listens.
     pub fn listening(config: &Value, descriptors: Option<usize>) -> Self {
-        let mut child = command(config, descriptors).spawn().expect("it starts");
+        Self::start(command(config, descriptors))
+    }
+
+    /// Starts a node whose environment names discovery too, and waits until it is ready.
+    pub fn ready_with_discovery(config: &Value, discovery: SocketAddr) -> Self {
+        let (mut command, file) = command(config, None);
+        command.env("BALANCER_DISCOVERY", discovery.to_string());
+        let node = Self::start((command, file));
+        node.wait_ready();
+        node
+    }
+
+    fn start((mut command, file): (Command, String)) -> Self {
+        let mut child = command.spawn().expect("it starts");
         let log = Arc::new(Mutex::new(Vec::new()));
         let lines = log.clone();
         let errors = BufReader::new(child.stderr.take().expect("piped"));
@@ -357,7 +371,7 @@
             address = lines.iter().find_map(find);
             address.is_some()
         });
-        Self { child, address: address.expect("found"), log }
+        Self { child, file, address: address.expect("found"), log }
     }
 
     /// Starts a node and waits until it is ready.
@@ -378,8 +392,20 @@
     }
 
     pub fn terminate(&self) {
-        let killed = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
-        assert!(killed.expect("kill runs").success());
+        self.signal("-TERM");
+    }
+
+    /// Replaces the file of the configuration, as a whole, and tells the node.
+    pub fn reload(&self, words: &str) {
+        let next = format!("{}.next", self.file);
+        std::fs::write(&next, words).expect("a file");
+        std::fs::rename(&next, &self.file).expect("the same folder");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
+        assert!(sent.expect("kill runs").success());
     }
 
     /// How many file descriptors the node holds.
