One broken connection is not a crash of its server

Cause: balance.rs, detect_outlier took every Reset for a dead process: ejected, and cold for 24 s on its return. Ruled out: pace of the fleet (factor 2.0 throughout), limits (far from reached), the retry budget (full).

Change: only a refused connection, or a probe refused, tells that the process is down. A reset counts as a failure like a time-out; two that come together with nothing served between eject, and the probe says which it was.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -131,6 +131,8 @@
     last_took: Millis,
     /// Failures in a row.
     consecutive_failures: u32,
+    /// When a connection last broke, with nothing served since.
+    last_reset: Millis,
     /// Ejections in a row.
     ejections: u32,
     /// Ejected; looked at again from then on.
@@ -349,7 +351,7 @@
             Event::Ended { id, attempt, server, outcome, took, finished } => {
                 self.on_ended(id, attempt, server, outcome, took, finished, actions);
             }
-            Event::Probed { server, outcome, .. } => self.on_probed(server, outcome),
+            Event::Probed { server, outcome, took } => self.on_probed(server, outcome, took),
             Event::ClientGone(id) => self.forget(id, actions),
             Event::Timer => {}
         }
@@ -438,6 +440,7 @@
                 last_sent: f64::NEG_INFINITY,
                 last_took: 0.0,
                 consecutive_failures: 0,
+                last_reset: f64::NEG_INFINITY,
                 ejections: 0,
                 ejected: None,
                 down: false,
@@ -449,6 +452,7 @@
                 // It restarted: what was seen of the process before says nothing about this one.
                 (server.consecutive_failures, server.ejections, server.ejected, server.returned) =
                     (0, 0, None, None);
+                server.down = false;
             }
             if !server.listed_up() || entry.started != server.entry.started {
                 server.turn = f64::NAN;
@@ -696,7 +700,7 @@
         self.choose_subset();
     }
 
-    fn on_probed(&mut self, id: ServerId, outcome: Outcome) {
+    fn on_probed(&mut self, id: ServerId, outcome: Outcome, took: Millis) {
         let (now, stagger) = (self.now, self.random());
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.probing = false;
@@ -712,6 +716,7 @@
             (server.ejected, server.consecutive_failures, server.down) = (None, 0, false);
             self.choose_subset();
         } else {
+            server.down |= outcome == Outcome::ConnectFailed && took < 0.9 * self.set.limits.connect_timeout;
             self.eject(id, true);
         }
     }
@@ -720,21 +725,31 @@
     fn detect_outlier(&mut self, id: ServerId, outcome: Outcome, took: Millis) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         match outcome {
-            Outcome::Done => (server.consecutive_failures, server.ejections) = (0, 0),
+            Outcome::Done => {
+                (server.consecutive_failures, server.ejections) = (0, 0);
+                server.last_reset = f64::NEG_INFINITY;
+            }
             Outcome::Cancelled | Outcome::NotSent | Outcome::Full => {}
-            // A connection refused or broken tells at once that the process is down.
-            Outcome::ConnectFailed | Outcome::Reset => {
+            // A refused connection tells at once that the process is down.
+            Outcome::ConnectFailed => {
                 // A refusal is quick where the process is down, and takes the whole time where the way is
                 // cut.
-                let cut = outcome == Outcome::ConnectFailed && took >= 0.9 * self.set.limits.connect_timeout;
-                server.down |= !cut;
+                server.down |= took < 0.9 * self.set.limits.connect_timeout;
                 self.eject(id, true);
             }
-            Outcome::TimedOut | Outcome::Error => {
+            // A broken one does not: servers close on what they can't read, and break off single answers. To
+            // take each for a crash would put the whole fleet on cold budgets. Several that break together
+            // eject, and the probe tells whether the process is down.
+            Outcome::TimedOut | Outcome::Error | Outcome::Reset => {
+                let broke = outcome == Outcome::Reset;
+                let together = broke && self.now - server.last_reset <= self.set.limits.connect_timeout;
+                if broke {
+                    server.last_reset = self.now;
+                }
                 server.consecutive_failures += 1;
-                if server.consecutive_failures >= OUTLIER_FAILURES {
+                if together || server.consecutive_failures >= OUTLIER_FAILURES {
                     server.consecutive_failures = 0;
-                    self.eject(id, false);
+                    self.eject(id, together);
                 }
             }
         }
@@ -1118,7 +1133,7 @@
                     server.probing = true;
                 }
             } else {
-                self.on_probed(id, Outcome::Done);
+                self.on_probed(id, Outcome::Done, 0.0);
             }
         }
         if now >= self.chosen + self.warmth_step() && self.rotated().any(|s| s.turn_warmth < 1.0) {
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -2,6 +2,7 @@
 
 mod peers;
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use peers::*;
@@ -72,3 +73,28 @@
         assert_eq!(heard.body, b"new", "request {n}");
     }
 }
+
+/// A server that breaks off single answers keeps its turns: one broken connection is no crash, and to take it for
+/// one would leave the server out, and cold for long after.
+#[test]
+fn a_single_broken_connection_does_not_cost_a_server_its_turns() {
+    let count = AtomicUsize::new(0);
+    let flaky = Peer::new(move |m| {
+        let breaks = m.path() != "/health" && count.fetch_add(1, Ordering::SeqCst) % 8 == 3;
+        if breaks {
+            Say::Last(Vec::new())
+        } else {
+            Say::This(answer(200, "", "flaky"))
+        }
+    });
+    let good = Peer::good("good");
+    let registry =
+        Registry::new(&[host("s0", flaky.address, "active", 1), host("s1", good.address, "active", 1)]);
+    let node = Node::ready(&config(registry.address));
+    let mut client = Client::to(&node);
+    for n in 0..80 {
+        assert_eq!(client.ask(&request("look", &format!("t{n}"), 15_000)).status(), 200, "request {n}");
+    }
+    let seen = flaky.seen().len();
+    assert!(seen >= 30, "{seen} of 80 requests went to the flaky one");
+}
