Suspicions are settled by a probe at once; limits come back quickly to where they began

Checked with a log line an attempt (server, time, report, age and idle time of its connection): idle time and age of the connections tell nothing (ruled out: connections gone stale), the reports show no load (ruled out: overload). To blame, balance.rs: the fleet's factor fell to 0.05 (5 requests a second and node, too few to see the recovery), limits below where they begin climbed 2.5% an answer, and one refused or reset new connection ejected for a second and made the server cold.

Change: the factor keeps above 0.25; limits climb fast up to where they began, not just to 1; a suspicion that a process is down ejects only until a probe, sent at once, has told.

Still open: 70% refused from 25 to 30 s.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -11,6 +11,8 @@
 
 /// Consecutive failures that make a server an outlier, where a single one proves nothing.
 const OUTLIER_FAILURES: u32 = 3;
+/// A suspicion is settled by a probe at once, but not twice within so many times the connect's time.
+const SUSPECT_AGAIN: f64 = 8.0;
 /// The most of the fleet that time-outs may eject: beyond it, the fault is likelier the work's or the
 /// fleet's.
 const EJECT_AT_MOST: f64 = 0.5;
@@ -51,6 +53,8 @@
 /// The first of these where it is less than one for each node that shares the server: such limits start low,
 /// as many nodes that each may send at once crowd a server before any has heard of it.
 const SPACED: f64 = 5.0;
+/// How far it may fall: with too little out, the answers that would tell of the recovery are too few.
+const FLEET_LEAST: f64 = 0.25;
 /// How far the fleet's factor may rise above 1, so that a few late answers do not make it act.
 const FLEET_RESERVE: f64 = 2.0;
 /// Part of its aim that a request may be held at the node: in a burst, and in a lasting overload.
@@ -133,6 +137,8 @@
     consecutive_failures: u32,
     /// When a connection last broke, with nothing served since.
     last_reset: Millis,
+    /// When it was last ejected on a suspicion that a probe had to settle.
+    suspected: Millis,
     /// Ejections in a row.
     ejections: u32,
     /// Ejected; looked at again from then on.
@@ -216,6 +222,12 @@
     z ^ (z >> 31)
 }
 
+/// Does this tell that the process is down? A refusal is quick then; where the way is cut it takes the whole
+/// time.
+fn is_down(outcome: Outcome, took: Millis, limits: &Limits) -> bool {
+    outcome == Outcome::ConnectFailed && took < 0.9 * limits.connect_timeout
+}
+
 impl Rate {
     fn new() -> Self {
         Self { per_s: 0.0, at: 0.0 }
@@ -441,6 +453,7 @@
                 last_took: 0.0,
                 consecutive_failures: 0,
                 last_reset: f64::NEG_INFINITY,
+                suspected: f64::NEG_INFINITY,
                 ejections: 0,
                 ejected: None,
                 down: false,
@@ -700,6 +713,22 @@
         self.choose_subset();
     }
 
+    /// Ejects a server whose process may be down until a probe has told, which is sent at once: a single new
+    /// connection that its server breaks must not cost a good server a second of its turns and then a cold
+    /// start. Where that was tried a moment ago, or probes are not allowed, it counts as it looks.
+    fn suspect(&mut self, id: ServerId, outcome: Outcome, took: Millis) {
+        let (now, limits) = (self.now, &self.set.limits);
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        let again = now - server.suspected < SUSPECT_AGAIN * limits.connect_timeout;
+        if again || !limits.probes {
+            server.down |= is_down(outcome, took, limits);
+            self.eject(id, true);
+        } else if server.ejected.is_none() {
+            (server.suspected, server.ejected) = (now, Some(now));
+            self.choose_subset();
+        }
+    }
+
     fn on_probed(&mut self, id: ServerId, outcome: Outcome, took: Millis) {
         let (now, stagger) = (self.now, self.random());
         let Some(server) = self.servers.get_mut(&id) else { return };
@@ -716,7 +745,7 @@
             (server.ejected, server.consecutive_failures, server.down) = (None, 0, false);
             self.choose_subset();
         } else {
-            server.down |= outcome == Outcome::ConnectFailed && took < 0.9 * self.set.limits.connect_timeout;
+            server.down |= is_down(outcome, took, &self.set.limits);
             self.eject(id, true);
         }
     }
@@ -730,16 +759,9 @@
                 server.last_reset = f64::NEG_INFINITY;
             }
             Outcome::Cancelled | Outcome::NotSent | Outcome::Full => {}
-            // A refused connection tells at once that the process is down.
-            Outcome::ConnectFailed => {
-                // A refusal is quick where the process is down, and takes the whole time where the way is
-                // cut.
-                server.down |= took < 0.9 * self.set.limits.connect_timeout;
-                self.eject(id, true);
-            }
-            // A broken one does not: servers close on what they can't read, and break off single answers. To
-            // take each for a crash would put the whole fleet on cold budgets. Several that break together
-            // eject, and the probe tells whether the process is down.
+            Outcome::ConnectFailed => self.suspect(id, outcome, took),
+            // Servers close on what they can't read, and break off single answers. To take each for a crash
+            // would put the whole fleet on cold budgets. Several that break together are another matter.
             Outcome::TimedOut | Outcome::Error | Outcome::Reset => {
                 let broke = outcome == Outcome::Reset;
                 let together = broke && self.now - server.last_reset <= self.set.limits.connect_timeout;
@@ -747,9 +769,11 @@
                     server.last_reset = self.now;
                 }
                 server.consecutive_failures += 1;
-                if together || server.consecutive_failures >= OUTLIER_FAILURES {
+                if together {
+                    self.suspect(id, outcome, took);
+                } else if server.consecutive_failures >= OUTLIER_FAILURES {
                     server.consecutive_failures = 0;
-                    self.eject(id, together);
+                    self.eject(id, false);
                 }
             }
         }
@@ -972,7 +996,7 @@
         // of its own. Where half as many are late as come well in time, there is too much out.
         let step = LIMIT_GAIN * (LATE - PACE_TARGET) / (self.subset.len().max(1) as f64).sqrt();
         if part >= 1.0 {
-            self.fleet = (self.fleet * (-2.0 * step).exp()).max(LIMITS.1);
+            self.fleet = (self.fleet * (-2.0 * step).exp()).max(FLEET_LEAST);
         } else if part <= PACE_TARGET {
             self.fleet = (self.fleet * step.exp()).min(FLEET_RESERVE);
         }
@@ -992,7 +1016,7 @@
             // A limit that was never reached protects nobody when the fleet slows down at once.
             s.limit *= 1.0 - LIMIT_FADE;
         }
-        if s.limit < first.min(1.0) && part <= PACE_TARGET && at_limit {
+        if s.limit < first && part <= PACE_TARGET && at_limit {
             // Answers are rare below one: without a quick way back a server that was slow for seconds would
             // stay out for minutes. Only to where limits begin: from there on many nodes would crowd it.
             s.limit *= (LIMIT_GAIN * (LATE - PACE_TARGET)).exp();
