Harden both sides of the sockets; a server is down only where two probes over new connections say so

Now every suspicion is settled by probes, sent at once over new connections (servers.rs, exchange: kept ones prove nothing), and two refused ones make a server down. Clients are bounded by limits.memory_mb too.

--- a/src/api.rs
+++ b/src/api.rs
@@ -269,6 +269,8 @@
     Cancelled,
     /// Never sent.
     NotSent,
+    /// The server finds the request itself bad; its client has been told so.
+    Rejected,
 }
 
 impl Outcome {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -11,8 +11,6 @@
 
 /// Consecutive failures that make a server an outlier, where a single one proves nothing.
 const OUTLIER_FAILURES: u32 = 3;
-/// A suspicion is settled by a probe at once, but not twice within so many times the connect's time.
-const SUSPECT_AGAIN: f64 = 8.0;
 /// The most of the fleet that time-outs may eject: beyond it, the fault is likelier the work's or the
 /// fleet's.
 const EJECT_AT_MOST: f64 = 0.5;
@@ -137,8 +135,6 @@
     consecutive_failures: u32,
     /// When a connection last broke, with nothing served since.
     last_reset: Millis,
-    /// When it was last ejected on a suspicion that a probe had to settle.
-    suspected: Millis,
     /// Ejections in a row.
     ejections: u32,
     /// Ejected; looked at again from then on.
@@ -453,7 +449,6 @@
                 last_took: 0.0,
                 consecutive_failures: 0,
                 last_reset: f64::NEG_INFINITY,
-                suspected: f64::NEG_INFINITY,
                 ejections: 0,
                 ejected: None,
                 down: false,
@@ -713,18 +708,20 @@
         self.choose_subset();
     }
 
-    /// Ejects a server whose process may be down until a probe has told, which is sent at once: a single new
-    /// connection that its server breaks must not cost a good server a second of its turns and then a cold
-    /// start. Where that was tried a moment ago, or probes are not allowed, it counts as it looks.
+    /// Ejects a server whose process may be down until a probe has told, which is sent at once: connections
+    /// that break one by one must not cost a good server a second of its turns and then a cold start. A way
+    /// that is cut has told enough.
     fn suspect(&mut self, id: ServerId, outcome: Outcome, took: Millis) {
-        let (now, limits) = (self.now, &self.set.limits);
+        let limits = &self.set.limits;
+        let refused = is_down(outcome, took, limits);
+        let cut = outcome == Outcome::ConnectFailed && !refused;
+        let (probes, now) = (limits.probes, self.now);
         let Some(server) = self.servers.get_mut(&id) else { return };
-        let again = now - server.suspected < SUSPECT_AGAIN * limits.connect_timeout;
-        if again || !limits.probes {
-            server.down |= is_down(outcome, took, limits);
+        if cut || !probes {
+            server.down |= refused;
             self.eject(id, true);
         } else if server.ejected.is_none() {
-            (server.suspected, server.ejected) = (now, Some(now));
+            server.ejected = Some(now);
             self.choose_subset();
         }
     }
@@ -745,7 +742,13 @@
             (server.ejected, server.consecutive_failures, server.down) = (None, 0, false);
             self.choose_subset();
         } else {
-            server.down |= is_down(outcome, took, &self.set.limits);
+            // The connection of a probe may break like any other: one refused alone is asked again.
+            let refused = is_down(outcome, took, &self.set.limits);
+            if refused && server.ejections == 0 {
+                (server.ejections, server.ejected) = (1, Some(now));
+                return;
+            }
+            server.down |= refused;
             self.eject(id, true);
         }
     }
@@ -758,7 +761,8 @@
                 (server.consecutive_failures, server.ejections) = (0, 0);
                 server.last_reset = f64::NEG_INFINITY;
             }
-            Outcome::Cancelled | Outcome::NotSent | Outcome::Full => {}
+            // What a client sends says nothing of the server that turns it down.
+            Outcome::Cancelled | Outcome::NotSent | Outcome::Full | Outcome::Rejected => {}
             Outcome::ConnectFailed => self.suspect(id, outcome, took),
             // Servers close on what they can't read, and break off single answers. To take each for a crash
             // would put the whole fleet on cold budgets. Several that break together are another matter.
--- a/src/main.rs
+++ b/src/main.rs
@@ -25,7 +25,7 @@
 /// Connections that the kernel may hold until they are accepted.
 const BACKLOG: u32 = 1024;
 /// How often idle connections are looked at.
-const SWEEP: Duration = Duration::from_millis(500);
+const SWEEP: Duration = Duration::from_millis(200);
 
 fn main() -> ExitCode {
     let config = match config::load() {
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -9,7 +9,9 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
+use hyper::header::{
+    HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER, TRANSFER_ENCODING,
+};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -30,8 +32,14 @@
 const GUARD: Duration = Duration::from_millis(9);
 /// The longest deadline that is believed.
 const LONGEST: u64 = 600_000;
-/// How long a request may take to come, and an answer to be taken.
-const READING: Duration = Duration::from_secs(10);
+/// How long an answer may take to be taken.
+const ANSWERING: Duration = Duration::from_secs(5);
+/// How long a new connection may say nothing. Bad clients connect by hundreds and do just that.
+const SILENT: Duration = Duration::from_millis(1800);
+/// How long a connection may be idle between requests.
+const IDLE: Duration = Duration::from_secs(20);
+/// From this age on a request that is still coming makes room for others where there is none.
+const STALE: Duration = Duration::from_millis(250);
 /// How long a connection is read after its last answer, so that a reset does not overtake it.
 const LINGER: Duration = Duration::from_millis(500);
 /// The largest head of a request.
@@ -49,6 +57,8 @@
 
 /// A request as it goes on to a server.
 pub struct Asked {
+    /// Its id; empty for a probe.
+    pub txn: String,
     /// Index of its class.
     pub class: usize,
     /// Index of its tenant.
@@ -64,12 +74,25 @@
 }
 
 impl Asked {
+    /// Is this a probe? No client's request comes without an id.
+    pub fn is_probe(&self) -> bool {
+        self.txn.is_empty()
+    }
+
     /// The request of a probe.
     pub fn probe() -> Self {
         let mut headers = HeaderMap::new();
         headers.insert(HOST, HeaderValue::from_static("service.internal"));
         let uri = Uri::from_static("/health");
-        Self { class: 0, tenant: None, method: Method::GET, uri, headers, body: Bytes::new() }
+        Self {
+            txn: String::new(),
+            class: 0,
+            tenant: None,
+            method: Method::GET,
+            uri,
+            headers,
+            body: Bytes::new(),
+        }
     }
 }
 
@@ -115,7 +138,7 @@
 impl Clients {
     /// No connections yet.
     pub fn new(node: Rc<Node>) -> Rc<Self> {
-        let most = node.config.sockets / 2;
+        let most = node.config.clients_most();
         let (open, last, freed) = (RefCell::default(), Cell::new(0), Notify::new());
         Rc::new(Self { node, open, last, most, freed })
     }
@@ -156,11 +179,18 @@
         }
     }
 
-    /// Closes connections on which a request takes too long to come, or an answer is not read.
+    /// Closes connections that say nothing, on which a request takes too long to come, or whose answer is not read.
     pub fn sweep(&self) {
         for client in self.open.borrow().values() {
             let (phase, since) = client.sock.phase();
-            if matches!(phase, Phase::Reading | Phase::Answering) && since.elapsed() >= READING {
+            let over = match phase {
+                Phase::Idle if !client.sock.spoke() => since.elapsed() >= SILENT,
+                Phase::Idle => since.elapsed() >= IDLE && client.sock.quiet(),
+                Phase::Reading => client.sock.overdue(),
+                Phase::Busy => false,
+                Phase::Answering => since.elapsed() >= ANSWERING,
+            };
+            if over {
                 client.close.notify_one();
             }
         }
@@ -176,14 +206,18 @@
         }
     }
 
-    /// Closes the connection that has been idle for longest, or else the one whose request has been coming
-    /// for longest; false where all are busy.
+    /// Closes one connection, those first that never said a word, then the one that has been idle for longest, then
+    /// the one whose request has been coming for longest; false where all are busy.
     fn evict(&self) -> bool {
         let (number, client) = {
             let open = self.open.borrow();
             let rank = |c: &Client| match c.sock.phase() {
-                (Phase::Idle, since) if c.sock.quiet() => Some((0, since)),
-                (Phase::Reading, since) if since.elapsed() >= READING / 10 => Some((1, since)),
+                (Phase::Idle, since) if c.sock.quiet() => {
+                    // A crowd that says nothing must not push out those that are used.
+                    let crowd = !c.sock.spoke() && since.elapsed() >= FRESH;
+                    Some((if crowd { 0 } else { 1 }, since))
+                }
+                (Phase::Reading, since) if since.elapsed() >= STALE => Some((2, since)),
                 _ => None,
             };
             let least = open.iter().filter_map(|(n, c)| Some((rank(c)?, *n))).min();
@@ -198,7 +232,7 @@
     }
 
     fn serve(self: &Rc<Self>, stream: TcpStream) {
-        let Ok(sock) = Sock::new(stream) else { return };
+        let Ok(sock) = Sock::of_client(stream) else { return };
         let number = self.last.get() + 1;
         self.last.set(number);
         let client = Rc::new(Client { sock, close: Notify::new() });
@@ -234,32 +268,39 @@
 async fn respond(node: Rc<Node>, sock: Rc<Sock>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let arrived = sock.arrived();
     let head = *request.method() == Method::HEAD;
+    let length = body_as_it_comes(request.headers());
     let mut answer = if request.uri().path() == "/ready" {
         let status = if node.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         plain(status)
     } else {
-        match read(&node, request).await {
+        match read(&node, &sock, request).await {
             Ok((asked, remaining)) => {
+                sock.look_ahead(length);
                 sock.enter(Phase::Busy);
                 settle(&node, asked, arrived, remaining).await
             }
-            Err(Bad { status, closes }) => {
-                let mut answer = plain(status);
-                if closes {
-                    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-                }
-                answer
-            }
+            Err(bad) => bad.answer(),
         }
     };
     if node.closing.get() {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    if sock.phase().0 == Phase::Reading {
+        sock.look_ahead(length);
+    }
     sock.begin(if head { 0 } else { body_length(&answer) });
     sock.enter(Phase::Answering);
     answer
 }
 
+/// How long a request's body is as it comes, where its head says so.
+fn body_as_it_comes(headers: &HeaderMap) -> Option<usize> {
+    if headers.contains_key(TRANSFER_ENCODING) {
+        return None;
+    }
+    headers.get(CONTENT_LENGTH).map_or(Some(0), |v| v.to_str().ok()?.trim().parse().ok())
+}
+
 fn body_length(answer: &Response<Full<Bytes>>) -> usize {
     hyper::body::Body::size_hint(answer.body()).exact().unwrap_or(0) as usize
 }
@@ -297,7 +338,10 @@
     if !node.has_room() {
         return refusal(0.0);
     }
-    let (id, answered) = node.request(asked, before(MARGIN));
+    // The id of a request that is open already: to send it on would be to run the first one again.
+    let Some((id, answered)) = node.request(asked, before(MARGIN)) else {
+        return plain(StatusCode::CONFLICT);
+    };
     let mut owed = Owed { node: node.clone(), id, answered: false };
     let Some(answer) = in_time(before(GUARD), answered).await else {
         return plain(StatusCode::GATEWAY_TIMEOUT);
@@ -307,6 +351,7 @@
         Answer::Served(reply) => served(reply),
         Answer::Refused(stay_away) => refusal(stay_away),
         Answer::Failed => plain(StatusCode::BAD_GATEWAY),
+        Answer::Rejected => plain(StatusCode::BAD_REQUEST),
     }
 }
 
@@ -339,6 +384,16 @@
     closes: bool,
 }
 
+impl Bad {
+    fn answer(&self) -> Response<Full<Bytes>> {
+        let mut answer = plain(self.status);
+        if self.closes {
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        answer
+    }
+}
+
 impl From<StatusCode> for Bad {
     fn from(status: StatusCode) -> Self {
         Self { status, closes: false }
@@ -361,9 +416,28 @@
     value.filter(fits).ok_or(StatusCode::BAD_REQUEST.into())
 }
 
-async fn read(node: &Node, request: Request<Incoming>) -> Result<(Asked, Duration), Bad> {
+/// Is it clear where the request ends? One with a length and a transfer coding may hide another in its body: what is
+/// the body by the one is the next request by the other.
+fn framed_once(sock: &Sock, headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let chunked = |v: &HeaderValue| v.as_bytes().eq_ignore_ascii_case(b"chunked");
+    match (codings.next(), codings.next()) {
+        (None, _) => headers.get_all(CONTENT_LENGTH).iter().count() <= 1,
+        (Some(coding), None) => {
+            chunked(coding) && !headers.contains_key(CONTENT_LENGTH) && sock.head_lacks("content-length")
+        }
+        _ => false,
+    }
+}
+
+async fn read(node: &Node, sock: &Sock, request: Request<Incoming>) -> Result<(Asked, Duration), Bad> {
     let told = &node.config.told;
     let (parts, body) = request.into_parts();
+    let bodied = !hyper::body::Body::is_end_stream(&body);
+    // Nothing more is read of one whose end is in doubt, or that has a body where none may be.
+    if !framed_once(sock, &parts.headers) || (parts.method == Method::GET && bodied) {
+        return Err(Bad { status: StatusCode::BAD_REQUEST, closes: true });
+    }
     let declared = parts.headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
     // What has not been read when the answer goes out makes the connection useless.
     let unread =
@@ -374,7 +448,7 @@
     let name = parts.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
     let class = told.classes.iter().position(|c| c == name).ok_or_else(|| unread(StatusCode::NOT_FOUND))?;
     let checked = check(&parts.method, &parts.headers, told.settings.classes[class].effect);
-    let remaining = checked.map_err(|bad| unread(bad.status))?;
+    let (txn, remaining) = checked.map_err(|bad| unread(bad.status))?;
     let tenant = header(&parts.headers, &ORG).ok().flatten();
     let tenant = tenant.and_then(|org| told.tenants.iter().position(|t| t == org));
     let mut uri = Uri::builder();
@@ -394,12 +468,12 @@
     if !headers.contains_key(HOST) {
         headers.insert(HOST, HeaderValue::from_static("service.internal"));
     }
-    Ok((Asked { class, tenant, method: parts.method, uri, headers, body }, remaining))
+    Ok((Asked { txn, class, tenant, method: parts.method, uri, headers, body }, remaining))
 }
 
-/// Checks what a request must bring, and gives its time.
-fn check(method: &Method, headers: &HeaderMap, effect: Effect) -> Result<Duration, Bad> {
-    token(header(headers, &TXN)?)?;
+/// Checks what a request must bring, and gives its id and its time.
+fn check(method: &Method, headers: &HeaderMap, effect: Effect) -> Result<(String, Duration), Bad> {
+    let txn = token(header(headers, &TXN)?)?.to_string();
     let remaining = header(headers, &REMAINING)?.filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
     let remaining = remaining.and_then(|v| v.parse::<u64>().ok()).ok_or(StatusCode::BAD_REQUEST)?;
     let wanted = if effect == Effect::Safe { Method::GET } else { Method::POST };
@@ -409,7 +483,7 @@
     if matches!(effect, Effect::Keyed { .. }) {
         token(header(headers, &KEY)?)?;
     }
-    Ok(Duration::from_millis(remaining.min(LONGEST)))
+    Ok((txn, Duration::from_millis(remaining.min(LONGEST))))
 }
 
 #[cfg(test)]
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -19,6 +19,8 @@
     pub seed: u64,
     /// The most file descriptors that the process may hold.
     pub sockets: usize,
+    /// The most memory that it may use, in MB.
+    pub memory_mb: usize,
     /// The list of servers as last had.
     pub known: Option<Update>,
     /// The settings.
@@ -30,6 +32,29 @@
 /// The fewest that a node can do anything with.
 const SOCKETS_LEAST: u64 = 32;
 
+/// Descriptors of the process itself: standard streams, the runtime's, the listener, discovery's old and new call,
+/// and those that one side gives up while the other takes them.
+const RESERVE: usize = 16;
+/// Connections of clients for each MB: the worst of them holds a head, a body and an answer, 0.2 MB in all.
+const CLIENTS_PER_MB: usize = 4;
+/// Memory where the configuration names no limit.
+const MEMORY_MB: u64 = 192;
+/// The least that a node can do anything with.
+const MEMORY_LEAST: u64 = 8;
+
+impl Config {
+    /// How many connections of clients there may be: half of what the process itself does not need, within what
+    /// memory can bear.
+    pub fn clients_most(&self) -> usize {
+        ((self.sockets - RESERVE) / 2).min(self.memory_mb * CLIENTS_PER_MB).max(1)
+    }
+
+    /// How many connections to servers there may be: the rest.
+    pub fn servers_most(&self) -> usize {
+        self.sockets - RESERVE - self.clients_most()
+    }
+}
+
 /// Reads the configuration of this process.
 ///
 /// # Errors
@@ -76,20 +101,21 @@
         discovery: address("discovery")?,
         seed: u64::from_str_radix(seed, 16)
             .map_err(|_| format!("seed: hex digits expected, not {seed:?}"))?,
-        sockets: sockets(value)?,
+        sockets: limit(value, "sockets", SOCKETS, SOCKETS_LEAST)?,
+        memory_mb: limit(value, "memory_mb", MEMORY_MB, MEMORY_LEAST)?,
         known,
         told,
     })
 }
 
-fn sockets(value: &Value) -> Result<usize, String> {
-    let told = value.get("limits").and_then(|l| l.get("sockets"));
+fn limit(value: &Value, name: &str, default: u64, least: u64) -> Result<usize, String> {
+    let told = value.get("limits").and_then(|l| l.get(name));
     let count = match told {
-        None => SOCKETS,
-        Some(v) => v.as_u64().ok_or("limits.sockets: whole number expected")?,
+        None => default,
+        Some(v) => v.as_u64().ok_or_else(|| format!("limits.{name}: whole number expected"))?,
     };
-    if count < SOCKETS_LEAST {
-        return Err(format!("limits.sockets: {SOCKETS_LEAST} are needed at least, not {count}"));
+    if count < least {
+        return Err(format!("limits.{name}: {least} are needed at least, not {count}"));
     }
     Ok(count.min(1 << 20) as usize)
 }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,7 +1,7 @@
 //! The owner of the decision module: events in, actions out, the table of requests, the clock and the timer.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -31,6 +31,8 @@
     Refused(Millis),
     /// Failed.
     Failed,
+    /// The server finds the request itself bad.
+    Rejected,
 }
 
 /// A server's answer that was read whole.
@@ -100,6 +102,8 @@
     events: VecDeque<Event>,
     feeding: bool,
     requests: HashMap<RequestId, Open>,
+    /// The clients' ids of those that still await their answer.
+    ids: HashSet<String>,
     last_id: u64,
     /// When the module wants to be woken.
     timer: Option<Instant>,
@@ -117,7 +121,7 @@
     /// Where discovery is now; a reload moves it.
     pub discovery: Cell<SocketAddr>,
     /// Its connections to servers.
-    pub pool: Pool,
+    pub pool: Rc<Pool>,
     /// Set once the node is to end: answers then close their connections.
     pub closing: Cell<bool>,
     clock: Clock,
@@ -148,6 +152,7 @@
             events: VecDeque::new(),
             feeding: false,
             requests: HashMap::new(),
+            ids: HashSet::new(),
             last_id: 0,
             timer: None,
             hosts: HashMap::new(),
@@ -155,7 +160,7 @@
             call: None,
         };
         let node = Rc::new(Self {
-            pool: Pool::new(&config),
+            pool: Rc::new(Pool::new(&config)),
             discovery: Cell::new(config.discovery),
             config,
             closing: Cell::new(false),
@@ -225,16 +230,19 @@
     }
 
     /// Takes in a client's request; the final answer comes from the receiver. `deadline` is when the answer
-    /// must be on its way.
+    /// must be on its way. `None` where a request with this id is open already.
     pub fn request(
         self: &Rc<Self>,
         asked: Asked,
         deadline: Instant,
-    ) -> (RequestId, oneshot::Receiver<Answer>) {
+    ) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
         let (answer, answered) = oneshot::channel();
         let (class, tenant) = (asked.class, asked.tenant);
         let id = {
             let mut state = self.state.borrow_mut();
+            if !state.ids.insert(asked.txn.clone()) {
+                return None;
+            }
             state.last_id += 1;
             let id = RequestId(state.last_id);
             let open = Open { asked: Rc::new(asked), answer: Some(answer), attempts: Vec::new() };
@@ -242,7 +250,7 @@
             id
         };
         self.feed(Event::Request { id, class, tenant, deadline: self.clock.at(deadline) });
-        (id, answered)
+        Some((id, answered))
     }
 
     /// How many requests await their final answer.
@@ -268,8 +276,11 @@
     pub fn client_gone(self: &Rc<Self>, id: RequestId) {
         {
             let mut state = self.state.borrow_mut();
-            let Some(open) = state.requests.get_mut(&id) else { return };
-            open.answer = None;
+            let State { requests, ids, .. } = &mut *state;
+            let Some(open) = requests.get_mut(&id) else { return };
+            if open.answer.take().is_some() {
+                ids.remove(&open.asked.txn);
+            }
         }
         self.feed(Event::ClientGone(id));
         self.drop_if_over(id);
@@ -285,7 +296,8 @@
     ) {
         let event = {
             let mut state = self.state.borrow_mut();
-            let Some(open) = state.requests.get_mut(&id) else { return };
+            let State { requests, ids, .. } = &mut *state;
+            let Some(open) = requests.get_mut(&id) else { return };
             let Some(ended) = open.attempts.get_mut(attempt) else { return };
             // Cancelled before: that was its one outcome.
             if ended.task.take().is_none() {
@@ -293,7 +305,9 @@
             }
             let (server, took) = (ended.server, ended.sent.elapsed().as_secs_f64() * 1000.0);
             if let Some(reply) = reply {
-                give(open, Answer::Served(reply));
+                give(open, ids, Answer::Served(reply));
+            } else if outcome == Outcome::Rejected {
+                give(open, ids, Answer::Rejected);
             }
             let finished = open.answer.is_none();
             Event::Ended { id, attempt, server, outcome, took, finished }
@@ -360,8 +374,12 @@
     }
 
     fn answer(&self, id: RequestId, answer: Answer) {
-        if let Some(open) = self.state.borrow_mut().requests.get_mut(&id) {
-            give(open, answer);
+        {
+            let mut state = self.state.borrow_mut();
+            let State { requests, ids, .. } = &mut *state;
+            if let Some(open) = requests.get_mut(&id) {
+                give(open, ids, answer);
+            }
         }
         self.drop_if_over(id);
     }
@@ -484,8 +502,9 @@
     }
 }
 
-fn give(open: &mut Open, answer: Answer) {
+fn give(open: &mut Open, ids: &mut HashSet<String>, answer: Answer) {
     if let Some(to) = open.answer.take() {
+        ids.remove(&open.asked.txn);
         // A client that has just left needs no answer.
         let _ = to.send(answer);
     }
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
+use std::io::ErrorKind;
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -11,7 +12,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
-use hyper::header::{HeaderName, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at};
@@ -30,6 +31,9 @@
 /// when its server closes it ends as a reset, and fails what must not be repeated.
 const IDLE_SHARE: f64 = 0.5;
 
+/// From when on an attempt counts as long unheard: well beyond what is usual for an answer.
+const UNHEARD: Duration = Duration::from_millis(1000);
+
 /// What a connect fails with through no fault of the server: ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS, ENOMEM.
 const OWN_ERRORS: [i32; 5] = [23, 24, 99, 105, 12];
 
@@ -58,9 +62,31 @@
     }
 }
 
+/// An attempt that is noted as unheard; not any more once this is dropped.
+struct Expected {
+    pool: Rc<Pool>,
+    server: ServerId,
+    number: u64,
+}
+
+impl Drop for Expected {
+    fn drop(&mut self) {
+        let mut unheard = self.pool.unheard.borrow_mut();
+        if let Some(attempts) = unheard.get_mut(&self.server) {
+            attempts.retain(|(number, _)| *number != self.number);
+            if attempts.is_empty() {
+                unheard.remove(&self.server);
+            }
+        }
+    }
+}
+
 /// Connections to servers.
 pub struct Pool {
     idle: RefCell<HashMap<ServerId, Vec<Link>>>,
+    /// When each attempt was written to which no byte has come back.
+    unheard: RefCell<HashMap<ServerId, Vec<(u64, Instant)>>>,
+    last: Cell<u64>,
     held: Rc<Cell<usize>>,
     most: usize,
     idle_most: Duration,
@@ -73,8 +99,10 @@
         let ms = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3_600_000.0) / 1000.0);
         Self {
             idle: RefCell::default(),
+            unheard: RefCell::default(),
+            last: Cell::new(0),
             held: Rc::default(),
-            most: config.sockets * 3 / 8,
+            most: config.servers_most(),
             idle_most: ms(config.told.keepalive * IDLE_SHARE),
             connect: ms(config.told.settings.limits.connect_timeout),
         }
@@ -94,11 +122,17 @@
         idle.retain(|_, links| !links.is_empty());
     }
 
-    /// The connection that was used last, if any still stands.
+    /// The connection that was used last, if any still stands. All that a server had open can go silent at once,
+    /// while new ones work: while an attempt has long been unheard, those last used before it are left alone.
     fn take(&self, server: ServerId) -> Option<Link> {
+        let doubt = self.long_unheard(server);
         let mut idle = self.idle.borrow_mut();
         let links = idle.get_mut(&server)?;
         while let Some(link) = links.pop() {
+            if doubt.is_some_and(|since| link.since < since) {
+                links.push(link);
+                return None;
+            }
             if link.since.elapsed() < self.idle_most && link.sock.quiet() {
                 return Some(link);
             }
@@ -106,6 +140,27 @@
         None
     }
 
+    /// Since when an attempt at this server has been unheard, where that is long.
+    fn long_unheard(&self, server: ServerId) -> Option<Instant> {
+        let sent = self.unheard.borrow().get(&server)?.iter().map(|(_, sent)| *sent).min()?;
+        (sent.elapsed() >= UNHEARD).then_some(sent)
+    }
+
+    /// Notes an attempt until something comes back, or it ends.
+    fn expect(self: &Rc<Self>, server: ServerId) -> Expected {
+        let number = self.last.get() + 1;
+        self.last.set(number);
+        self.unheard.borrow_mut().entry(server).or_default().push((number, Instant::now()));
+        Expected { pool: self.clone(), server, number }
+    }
+
+    /// Closes the idle connections to a server that were last used before an attempt that nothing came back of.
+    fn distrust(&self, server: ServerId, sent: Instant) {
+        if let Some(links) = self.idle.borrow_mut().get_mut(&server) {
+            links.retain(|link| link.since >= sent);
+        }
+    }
+
     fn put(&self, server: ServerId, mut link: Link) {
         link.since = Instant::now();
         self.idle.borrow_mut().entry(server).or_default().push(link);
@@ -185,7 +240,8 @@
     uri: &Uri,
     asked: &Asked,
 ) -> (Outcome, Option<Reply>) {
-    let mut pooled = node.pool.take(server);
+    // A probe is to tell whether the process takes connections: a kept one could not.
+    let mut pooled = if asked.is_probe() { None } else { node.pool.take(server) };
     loop {
         // A drain holds from the moment it is told, also for what waited on a connection until now.
         let Some(place) = node.place(server) else { return (Outcome::NotSent, None) };
@@ -202,10 +258,16 @@
         if node.place(server) != Some(place) {
             return (Outcome::NotSent, None);
         }
+        let sent = Instant::now();
+        let expected = node.pool.expect(server);
         link.sock.begin(asked.body.len());
         let request = request(method, uri, asked, end);
         let ended = timeout_at(end.into(), converse(&mut link, request)).await;
+        drop(expected);
         let (any, whole) = (link.sock.any(), link.sock.whole());
+        if ended.is_err() && whole && !link.sock.heard_any() {
+            node.pool.distrust(server, sent);
+        }
         match ended {
             // A kept connection that was closed before the first byte was written: nothing was sent, so this
             // is still the same attempt.
@@ -256,6 +318,8 @@
         match self.status {
             StatusCode::OK => (Outcome::Done, Some(self.reply)),
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if away => (Outcome::Full, None),
+            // Bad clients send much that only a server can tell from good: no other server will like it better.
+            StatusCode::BAD_REQUEST => (Outcome::Rejected, None),
             _ => (Outcome::Error, None),
         }
     }
@@ -270,7 +334,10 @@
 
 impl From<hyper::Error> for Broken {
     fn from(error: hyper::Error) -> Self {
-        if error.is_parse() || error.is_parse_too_large() || error.is_parse_status() {
+        // A bad chunk is told as bad input or data from the connection.
+        let cause = std::error::Error::source(&error).and_then(|e| e.downcast_ref::<std::io::Error>());
+        let bad = |kind| matches!(kind, ErrorKind::InvalidInput | ErrorKind::InvalidData);
+        if error.is_parse() || error.is_parse_status() || cause.is_some_and(|e| bad(e.kind())) {
             Self::Garbled
         } else {
             Self::Link
@@ -286,6 +353,9 @@
         send.ready().await?;
         let answer = send.send_request(request).await?;
         let (parts, body) = answer.into_parts();
+        if !framed_once(&parts.headers) {
+            return Err(Broken::Garbled);
+        }
         let body = Limited::new(body, BODY_MOST).collect().await;
         let body = body.map_err(|e| match e.downcast::<hyper::Error>() {
             Ok(error) => Broken::from(*error),
@@ -301,6 +371,19 @@
     Ok(Heard { status: parts.status, reply: Reply { headers, body }, keep, chunked })
 }
 
+/// Does the answer say in one way where it ends? One that ends with its connection may be cut short, and one with a
+/// length and a transfer coding is two answers in one.
+fn framed_once(headers: &HeaderMap) -> bool {
+    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
+    let chunked = |v: &HeaderValue| v.as_bytes().eq_ignore_ascii_case(b"chunked");
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    match (codings.next(), codings.next()) {
+        (None, _) => lengths == 1,
+        (Some(coding), None) => lengths == 0 && chunked(coding),
+        _ => false,
+    }
+}
+
 /// Has the connection come to its end? hyper sees bytes behind the answer, and closes, only when polled.
 async fn over(conn: &mut Connection<Io, Full<Bytes>>) -> bool {
     let mut conn = pin!(conn);
--- a/src/net/sock.rs
+++ b/src/net/sock.rs
@@ -7,7 +7,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
@@ -16,6 +16,11 @@
 /// How much one read takes at the most.
 const CHUNK: usize = 16 * 1024;
 
+/// How long a request may take to come whole; that of a new connection counts from the connection's start.
+const REQUEST_WITHIN: Duration = Duration::from_millis(2500);
+/// How much of a request is kept for a look at its head.
+const HEAD_KEPT: usize = 32 * 1024;
+
 /// How much of one HTTP message the kernel has taken.
 #[derive(Default)]
 struct Progress {
@@ -47,6 +52,18 @@
     }
 }
 
+/// Where the head of a request ends. Blank lines ahead of it are passed over by the parser too.
+fn head_end(head: &[u8]) -> Option<usize> {
+    let mut end = head.iter().position(|b| !matches!(b, b'\r' | b'\n'))?;
+    for line in head[end..].split_inclusive(|b| *b == b'\n') {
+        end += line.len();
+        if line == b"\n" || line == b"\r\n" {
+            return Some(end);
+        }
+    }
+    None
+}
+
 /// What came back: a head, and how many bytes behind it.
 struct Back {
     head: Progress,
@@ -93,6 +110,18 @@
     since: Cell<Instant>,
     /// When the request that is being read or served began to come.
     began: Cell<Instant>,
+    /// By when a request that is coming must be whole.
+    due: Cell<Instant>,
+    /// A client's connection.
+    serves: bool,
+    /// Anything ever came.
+    spoke: Cell<bool>,
+    /// Something came while a request was served: the next one, or a part of it.
+    ahead: Cell<bool>,
+    /// How many bytes came since the present request began to.
+    came: Cell<usize>,
+    /// What came of the present request, from its first byte on; `None` where that is not known.
+    head: RefCell<Option<Vec<u8>>>,
 }
 
 impl Sock {
@@ -101,6 +130,18 @@
     /// # Errors
     /// Where the socket is already broken.
     pub fn new(stream: TcpStream) -> io::Result<Rc<Self>> {
+        Self::open(stream, false)
+    }
+
+    /// Takes over the connection of a client, whose requests are watched.
+    ///
+    /// # Errors
+    /// Where the socket is already broken.
+    pub fn of_client(stream: TcpStream) -> io::Result<Rc<Self>> {
+        Self::open(stream, true)
+    }
+
+    fn open(stream: TcpStream, serves: bool) -> io::Result<Rc<Self>> {
         stream.set_nodelay(true)?;
         let now = Instant::now();
         Ok(Rc::new(Self {
@@ -110,6 +151,12 @@
             phase: Cell::new(Phase::Idle),
             since: Cell::new(now),
             began: Cell::new(now),
+            due: Cell::new(now + REQUEST_WITHIN),
+            serves,
+            spoke: Cell::new(false),
+            ahead: Cell::new(false),
+            came: Cell::new(0),
+            head: RefCell::default(),
         }))
     }
 
@@ -124,6 +171,11 @@
         self.out.borrow().any
     }
 
+    /// Has any byte come back?
+    pub fn heard_any(&self) -> bool {
+        self.back.borrow().head.any
+    }
+
     /// Has the kernel taken the message's last byte?
     pub fn whole(&self) -> bool {
         self.out.borrow().whole()
@@ -138,6 +190,39 @@
     pub fn enter(&self, phase: Phase) {
         self.phase.set(phase);
         self.since.set(Instant::now());
+        if phase != Phase::Reading {
+            *self.head.borrow_mut() = None;
+        }
+    }
+
+    /// Has the request that is coming taken too long?
+    pub fn overdue(&self) -> bool {
+        self.phase.get() == Phase::Reading && Instant::now() >= self.due.get()
+    }
+
+    /// Has anything ever come?
+    pub fn spoke(&self) -> bool {
+        self.spoke.get()
+    }
+
+    /// Is it sure that the head of the present request, as it came, has no such header (named in lower case)?
+    /// hyper drops a length that stands behind a transfer coding before anyone can see it.
+    pub fn head_lacks(&self, name: &str) -> bool {
+        let head = self.head.borrow();
+        let Some(head) = head.as_deref() else { return false };
+        let Some(end) = head_end(head) else { return false };
+        head[..end].split(|b| *b == b'\n').all(|line| {
+            let key = line.split(|b| *b == b':').next().unwrap_or_default();
+            !key.trim_ascii().eq_ignore_ascii_case(name.as_bytes())
+        })
+    }
+
+    /// The present request is whole, with a body of so many bytes as it came (`None`: not known). Has anything
+    /// come behind it? Where that is not known it is taken to be so.
+    pub fn look_ahead(&self, body: Option<usize>) {
+        let end = self.head.borrow().as_deref().and_then(head_end);
+        let whole = end.zip(body).map(|(head, body)| head + body);
+        self.ahead.set(whole != Some(self.came.get()));
     }
 
     /// When the present request began to come. One that came right behind another was read with it; its time
@@ -164,7 +249,8 @@
         if SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write).is_err() {
             return;
         }
-        let mut sink = [0; CHUNK];
+        // Not part of the task, which would be as much larger all its life.
+        let mut sink = vec![0; CHUNK];
         while self.stream.readable().await.is_ok() {
             match self.stream.try_read(&mut sink) {
                 Ok(0) => return,
@@ -187,18 +273,44 @@
     }
 
     fn read(&self, came: &[u8]) {
-        let bytes = came.len();
         self.back.borrow_mut().came(came);
-        if bytes > 0 && self.phase.get() == Phase::Idle {
-            self.enter(Phase::Reading);
-            self.began.set(self.since.get());
+        if came.is_empty() || !self.serves {
+            return;
+        }
+        match self.phase.get() {
+            Phase::Idle => {
+                self.coming(self.spoke.replace(true));
+                *self.head.borrow_mut() = Some(Vec::new());
+            }
+            Phase::Reading => {}
+            Phase::Busy | Phase::Answering => self.ahead.set(true),
+        }
+        self.came.set(self.came.get() + came.len());
+        if let Some(head) = &mut *self.head.borrow_mut() {
+            let room = HEAD_KEPT.saturating_sub(head.len());
+            head.extend_from_slice(&came[..came.len().min(room)]);
+        }
+    }
+
+    /// A request begins to come, the first of its connection or a later one.
+    fn coming(&self, later: bool) {
+        self.enter(Phase::Reading);
+        self.came.set(0);
+        self.began.set(self.since.get());
+        if later {
+            self.due.set(self.since.get() + REQUEST_WITHIN);
         }
     }
 
     fn took(&self, bytes: &[u8]) {
         self.out.borrow_mut().took(bytes);
         if self.phase.get() == Phase::Answering && self.whole() {
-            self.enter(Phase::Idle);
+            // What came ahead is the next request: half of one must not pass for an idle connection.
+            if self.ahead.take() {
+                self.coming(true);
+            } else {
+                self.enter(Phase::Idle);
+            }
         }
     }
 }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -472,6 +472,14 @@
         self.hear().expect("an answer")
     }
 
+    /// Has the node closed the connection, or broken it off with something unread? Waits for it.
+    pub fn ended_or_reset(&mut self) -> bool {
+        match self.from.read(&mut [0; 64]) {
+            Ok(n) => n == 0,
+            Err(error) => error.kind() == std::io::ErrorKind::ConnectionReset,
+        }
+    }
+
     /// Has the node closed the connection? Waits for it.
     pub fn ended(&mut self) -> bool {
         matches!(self.from.read(&mut [0; 64]), Ok(0))
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -2,8 +2,9 @@
 
 mod peers;
 
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use peers::*;
 use serde_json::json;
@@ -98,3 +99,165 @@
     let seen = flaky.seen().len();
     assert!(seen >= 30, "{seen} of 80 requests went to the flaky one");
 }
+
+/// A request with a length and a transfer coding may hide another in its body. Neither goes on, whichever header comes
+/// first, and nothing more is read from the connection.
+#[test]
+fn a_request_with_two_framings_hides_no_other() {
+    let server = Peer::good("a");
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let node = Node::ready(&config(registry.address));
+    let hidden = request("slip", "hidden", 15_000);
+    let start = "POST /slip/7 HTTP/1.1\r\nHost: x\r\nX-Txn: t1\r\nX-Remaining-Ms: 15000\r\n";
+    let (coding, length) =
+        ("Transfer-Encoding: chunked\r\n", format!("Content-Length: {}\r\n", hidden.len() + 5));
+    for framing in [
+        format!("{coding}{length}"),
+        format!("{length}{coding}"),
+        format!("{coding}{}", length.to_uppercase()),
+        format!("{coding}{coding}"),
+        "Transfer-Encoding: gzip, chunked\r\n".to_string(),
+    ] {
+        let mut client = Client::to(&node);
+        client.send(&format!("{start}{framing}\r\n0\r\n\r\n{hidden}"));
+        assert_eq!(client.hear().expect("an answer").status(), 400, "{framing}");
+        assert!(client.hear().is_none(), "{framing}: nothing more is answered");
+        // The same behind a good request, in one write.
+        let mut client = Client::to(&node);
+        let good = request("look", "good", 15_000);
+        client.send(&format!("{good}{start}{framing}\r\n0\r\n\r\n{hidden}"));
+        assert_eq!(client.hear().expect("an answer").status(), 200, "{framing}");
+        assert_eq!(client.hear().expect("an answer").status(), 400, "{framing}");
+        assert!(client.hear().is_none(), "{framing}: nothing more is answered");
+    }
+    assert!(server.seen().iter().all(|m| m.header("x-txn") == Some("good")), "{:?}", server.seen());
+    // Chunks alone are as good as a length.
+    let mut client = Client::to(&node);
+    let heard = client.ask(&format!("{start}{coding}\r\n4\r\nwork\r\n0\r\n\r\n"));
+    assert_eq!(
+        (heard.status(), server.seen().last().expect("it came").body.clone()),
+        (200, b"work".to_vec())
+    );
+}
+
+/// The id of a request that is open already: the newcomer is turned down at once and never sent, the first one is
+/// served. Afterwards the id may come again.
+#[test]
+fn the_id_of_an_open_request_is_turned_down() {
+    let server = Peer::new(|_| Say::Later(Duration::from_millis(1500), answer(200, "", "served")));
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let node = Node::ready(&config(registry.address));
+    let (mut first, mut second) = (Client::to(&node), Client::to(&node));
+    first.send(&request("slip", "t1", 15_000));
+    until("the first is out", || server.seen().len() == 1);
+    assert_eq!(second.ask(&request("slip", "t1", 15_000)).status(), 409);
+    assert_eq!(first.hear().expect("an answer").status(), 200);
+    assert_eq!(server.seen().len(), 1);
+    assert_eq!(second.ask(&request("look", "t1", 15_000)).status(), 200);
+    let body = request("look", "t2", 15_000).replace("\r\n\r\n", "\r\nContent-Length: 4\r\n\r\nwork");
+    assert_eq!(Client::to(&node).ask(&body).status(), 400, "a GET has no body");
+}
+
+/// Connections that say nothing, bring half a request, or half a one behind another, are closed in time.
+#[test]
+fn connections_that_bring_no_whole_request_are_closed() {
+    let server = Peer::new(|_| Say::Later(Duration::from_millis(200), answer(200, "", "served")));
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let node = Node::ready(&config(registry.address));
+    let good = request("slip", "t1", 15_000);
+    for (words, served) in [
+        (String::new(), false),
+        ("POST /slip/7 HTTP/1.1\r\nHost".to_string(), false),
+        (good[..good.len() - 2].to_string(), false),
+        (format!("{good}POST /slip/7 HTTP/1.1\r\nHost"), true),
+    ] {
+        let mut client = Client::to(&node);
+        let start = Instant::now();
+        client.send(&words);
+        if served {
+            assert_eq!(client.hear().expect("an answer").status(), 200);
+        }
+        assert!(client.ended_or_reset(), "{words}");
+        assert!(start.elapsed() < Duration::from_secs(8), "{words}: {:?}", start.elapsed());
+    }
+}
+
+/// What a server finds bad in a request is the client's to hear: no other server is asked, and neither server loses
+/// its turns for it.
+#[test]
+fn a_servers_word_on_a_bad_request_is_final_and_costs_no_turns() {
+    let servers = [(); 2].map(|()| {
+        Peer::new(|m| {
+            let bad = m.header("x-txn").is_some_and(|t| t.starts_with("bad"));
+            Say::This(answer(if bad { 400 } else { 200 }, "", ""))
+        })
+    });
+    let registry = Registry::new(&[
+        host("s0", servers[0].address, "active", 1),
+        host("s1", servers[1].address, "active", 1),
+    ]);
+    let node = Node::ready(&config(registry.address));
+    let mut client = Client::to(&node);
+    for n in 0..20 {
+        assert_eq!(client.ask(&request("look", &format!("bad{n}"), 15_000)).status(), 400);
+    }
+    let seen = || servers.each_ref().map(|s| s.seen().len());
+    assert_eq!(seen(), [10, 10]);
+    for n in 0..10 {
+        assert_eq!(client.ask(&request("slip", &format!("t{n}"), 15_000)).status(), 200);
+    }
+    assert_eq!(seen(), [15, 15]);
+}
+
+/// More slow requests at once than there are places under a low limit: all are served, and the limit is kept.
+#[test]
+fn slow_requests_beyond_the_descriptors_wait_and_are_served() {
+    let server = Peer::new(|_| Say::Later(Duration::from_millis(400), answer(200, "", "served")));
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let mut config = config(registry.address);
+    config["limits"]["sockets"] = json!(40);
+    config["settings"]["Classes"][2]["Slo"] = json!(20_000.0);
+    let node = Node::ready(&config);
+    // Each sends before the next connects: one that has said nothing yet may have to make room.
+    let start = |n: usize| {
+        let mut client = Client::to(&node);
+        client.send(&request("slip", &format!("t{n}"), 20_000));
+        client
+    };
+    let clients: Vec<Client> = (0..16).map(start).collect();
+    let mut most = 0;
+    for (n, mut client) in clients.into_iter().enumerate() {
+        most = most.max(node.descriptors());
+        assert_eq!(client.hear().expect("an answer").status(), 200, "request {n}");
+    }
+    assert!(most <= 40, "{most} of 40");
+}
+
+/// All open connections of a server go silent at once, while new ones work: that costs the attempt that finds out,
+/// not one after another for each connection that was kept.
+#[test]
+fn kept_connections_that_went_silent_together_cost_one_attempt() {
+    let silent = Arc::new(AtomicBool::new(false));
+    let flag = silent.clone();
+    let server = Peer::new(move |m| match flag.load(Ordering::SeqCst) {
+        true if m.conn <= 5 => Say::Nothing,
+        true => Say::This(answer(200, "", "served")),
+        false => Say::Later(Duration::from_millis(500), answer(200, "", "served")),
+    });
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let mut config = config(registry.address);
+    config["settings"]["Limits"]["Probes"] = json!(false);
+    let node = Node::ready(&config);
+    let mut clients: Vec<Client> = (0..5).map(|_| Client::to(&node)).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&request("slip", &format!("t{n}"), 15_000));
+    }
+    for client in &mut clients {
+        assert_eq!(client.hear().expect("an answer").status(), 200);
+    }
+    assert_eq!(server.open(), 5);
+    silent.store(true, Ordering::SeqCst);
+    let mut ask = |n: usize| clients[0].ask(&request("slip", &format!("n{n}"), 2_000)).status();
+    let served = (0..6).filter(|n| ask(*n) == 200).count();
+    assert_eq!(served, 5, "only the first is lost");
+}
