A stopping node keeps some of its clients' connections free

Clients stopped using the kept connections of the last node at the instant when all of them were busy (97 of 97), 0.4 s after its SIGTERM, and came back only when the other node was up.

Change: from 0.2 s after SIGTERM on, a request that leaves fewer than eight connections free (a quarter at most) is refused at once, with the module's span; so is one for which the table is full, which had none. Connections begin to close 1.4 s before the end rather than 1.1, so that the next node has opened what it needs before its own turn.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -377,6 +377,12 @@
         }
     }
 
+    /// For how long the client of a refused request of this class should stay away.
+    pub fn stay_away(&self, class: usize) -> Millis {
+        let aim = self.set.classes.get(class).map_or(0.0, |c| c.aim);
+        (STAY_AWAY * aim).min(self.set.limits.max_retry_after)
+    }
+
     /// When time alone next calls for something.
     fn next_due(&self) -> Millis {
         let call = match self.call {
@@ -1056,7 +1062,7 @@
         let Some(request) = self.requests.get(&id) else { return };
         let class = &self.set.classes[request.class];
         if request.may_repeat(class, &self.set.limits, self.now, None) {
-            let stay_away = (STAY_AWAY * class.aim).min(self.set.limits.max_retry_after);
+            let stay_away = self.stay_away(request.class);
             actions.push(Action::Refuse { id, stay_away });
         } else {
             actions.push(Action::Fail(id));
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,7 +22,7 @@
 /// much more.
 const PATIENCE: (Duration, Duration) = (Duration::from_millis(3000), Duration::from_millis(700));
 /// How long before that the node begins to close connections, fails what is still open, and ends at the latest.
-const CLOSE_BEFORE: Duration = Duration::from_millis(1100);
+const CLOSE_BEFORE: Duration = Duration::from_millis(1400);
 const FAIL_BEFORE: Duration = Duration::from_millis(500);
 const END_BEFORE: Duration = Duration::from_millis(200);
 /// Connections that the kernel may hold until they are accepted.
@@ -124,7 +124,7 @@
 /// stopped because it serves badly.
 async fn stop(node: &Rc<Node>, clients: &Rc<Clients>, listener: TcpListener) {
     let told = Instant::now();
-    node.stopping.set(true);
+    node.stopping.set(Some(told));
     let killed = patience(node.config.told.longest_deadline);
     let after = |before: Duration| told.elapsed() >= killed.saturating_sub(before);
     let _ = tokio::time::timeout(ACCEPT, clients.accept(&listener)).await;
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -48,6 +48,10 @@
 const FRESH: Duration = Duration::from_millis(200);
 /// How long the log keeps quiet of the same trouble.
 const QUIET: Duration = Duration::from_secs(5);
+/// How many connections a stopping node keeps free, within a quarter of them: those that come together find one each.
+const SPARE: usize = 8;
+/// For how long a stopping node may still count on new connections.
+const STILL_DEALT: Duration = Duration::from_millis(200);
 /// How long the backlog is emptied at the end.
 const BACKLOG_WITHIN: Duration = Duration::from_millis(100);
 /// How long accepting rests when descriptors have run out.
@@ -210,6 +214,21 @@
         }
     }
 
+    /// Does the node stop, and have clients few connections left that are not busy? New ones are dealt to other nodes by
+    /// then, if there are any. Where there are none, a front that finds no free connection takes the node for gone, with
+    /// all that are open, and what comes is lost until another is up: seen on days of two nodes restarted in turn. To
+    /// refuse some requests of a burst at once keeps the way open for all that follow. It guards as well against slow
+    /// servers that would tie up all connections of a stopping node. It does harm where another node would have served
+    /// those few, so it holds only while this one stops.
+    fn all_in_use(&self) -> bool {
+        if self.node.stopping.get().is_none_or(|since| since.elapsed() < STILL_DEALT) {
+            return false;
+        }
+        let free = |c: &&Rc<Client>| c.sock.phase().0 == Phase::Idle && c.sock.spoke();
+        let free = self.open.borrow().values().filter(free).count();
+        free < SPARE.min(self.count() / 4)
+    }
+
     /// Closes one connection, those first that never said a word, then the one that has been idle for longest, then
     /// the one whose request has been coming for longest; false where all are busy.
     fn evict(&self) -> bool {
@@ -251,8 +270,8 @@
 
     async fn converse(self: &Rc<Self>, client: Rc<Client>) {
         let service = service_fn(|request| {
-            let (node, sock) = (self.node.clone(), client.sock.clone());
-            async move { Ok::<_, Infallible>(respond(node, sock, request).await) }
+            let (clients, sock) = (self.clone(), client.sock.clone());
+            async move { Ok::<_, Infallible>(respond(clients, sock, request).await) }
         });
         let conn = http1::Builder::new()
             .max_buf_size(HEAD_MOST)
@@ -269,7 +288,8 @@
 }
 
 /// Answers one request.
-async fn respond(node: Rc<Node>, sock: Rc<Sock>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn respond(clients: Rc<Clients>, sock: Rc<Sock>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let node = &clients.node;
     let arrived = sock.arrived();
     let head = *request.method() == Method::HEAD;
     let length = body_as_it_comes(request.headers());
@@ -277,11 +297,12 @@
         let status = if node.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         plain(status)
     } else {
-        match read(&node, &sock, request).await {
+        match read(node, &sock, request).await {
+            Ok((asked, _)) if clients.all_in_use() => refusal(node.stay_away(asked.class)),
             Ok((asked, remaining)) => {
                 sock.look_ahead(length);
                 sock.enter(Phase::Busy);
-                settle(&node, asked, arrived, remaining).await
+                settle(node, asked, arrived, remaining).await
             }
             Err(bad) => bad.answer(),
         }
@@ -340,7 +361,7 @@
     let last = arrived + remaining;
     let before = |margin: Duration| last - margin.min(remaining / 2);
     if !node.has_room() {
-        return refusal(0.0);
+        return refusal(node.stay_away(asked.class));
     }
     // The id of a request that is open already: to send it on would be to run the first one again.
     let Some((id, answered)) = node.request(asked, before(MARGIN)) else {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -122,8 +122,8 @@
     pub discovery: Cell<SocketAddr>,
     /// Its connections to servers.
     pub pool: Rc<Pool>,
-    /// Set once the node is to end: it is not ready any more.
-    pub stopping: Cell<bool>,
+    /// Since when the node is to end: it is not ready any more.
+    pub stopping: Cell<Option<Instant>>,
     /// Set shortly before the node ends: answers then close their connections.
     pub closing: Cell<bool>,
     clock: Clock,
@@ -165,7 +165,7 @@
             pool: Rc::new(Pool::new(&config)),
             discovery: Cell::new(config.discovery),
             config,
-            stopping: Cell::new(false),
+            stopping: Cell::new(None),
             closing: Cell::new(false),
             clock: Clock::new(),
             informed: Cell::new(false),
@@ -196,7 +196,7 @@
 
     /// Can the node serve? Once discovery has answered, or soon with a saved list.
     pub fn ready(&self) -> bool {
-        if self.stopping.get() {
+        if self.stopping.get().is_some() {
             return false;
         }
         let late = self.clock.start.elapsed() >= READY_WITHIN;
@@ -275,6 +275,11 @@
         self.state.borrow().requests.len() < self.config.told.open_cap
     }
 
+    /// The module's word on when to come back, for a request of this class that it is not shown.
+    pub fn stay_away(&self, class: usize) -> Millis {
+        self.state.borrow().balancer.stay_away(class)
+    }
+
     /// Nothing is owed any more: the client left, or has been answered in the module's place.
     pub fn client_gone(self: &Rc<Self>, id: RequestId) {
         {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -346,6 +346,39 @@
     assert_eq!(node.exit_code(), Some(0));
 }
 
+/// Clients of a stopping node get no new connections, and one that finds none free may take the node for gone: a burst
+/// must not take the last ones. What is one too many is refused at once, with a word on when to come back.
+#[test]
+fn a_stopping_node_keeps_some_connections_free() {
+    let server = Peer::new(|m| {
+        let slow = m.header("x-txn").is_some_and(|txn| txn.starts_with("slow"));
+        Say::Later(Duration::from_millis(if slow { 1000 } else { 0 }), answer(200, "", "served"))
+    });
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let mut node = Node::ready(&config(registry.address));
+    let mut clients: Vec<Client> = (0..8).map(|_| Client::to(&node)).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        assert_eq!(client.ask(&request("slip", &format!("before{n}"), 15_000)).status(), 200);
+    }
+    node.terminate();
+    until("the signal has come", || {
+        Client::to(&node).ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 503
+    });
+    for (n, client) in clients.iter_mut().enumerate().take(6) {
+        client.send(&request("slip", &format!("slow{n}"), 15_000));
+    }
+    let mut count = 0;
+    until("a further one is refused", || {
+        count += 1;
+        let heard = clients[6].ask(&request("slip", &format!("more{count}"), 15_000));
+        heard.status() == 503 && heard.header("retry-after") == Some("0.750")
+    });
+    for client in clients.iter_mut().take(6) {
+        assert_eq!(client.hear().expect("what was taken is answered").status(), 200);
+    }
+    assert_eq!(node.exit_code(), Some(0));
+}
+
 /// Where all deadlines are short SIGKILL comes soon: what can't be finished is answered before that.
 #[test]
 fn sigterm_ends_sooner_where_deadlines_are_short() {
