New connections are not kept while many are idle: clients that ask once no longer use up the rest

Now the first answer on a connection closes it, and says so, where an eighth of all that clients may have are idle; one that has brought a single request is let go after 2 s. Connections that are used again stay.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -38,6 +38,8 @@
 const SILENT: Duration = Duration::from_millis(1800);
 /// How long a connection may be idle between requests.
 const IDLE: Duration = Duration::from_secs(20);
+/// The same for one that has brought a single request: many clients ask once and never let go.
+const IDLE_ONCE: Duration = Duration::from_secs(2);
 /// From this age on a request that is still coming makes room for others where there is none.
 const STALE: Duration = Duration::from_millis(250);
 /// How long a connection is read after its last answer, so that a reset does not overtake it.
@@ -48,6 +50,8 @@
 const FRESH: Duration = Duration::from_millis(200);
 /// How long the log keeps quiet of the same trouble.
 const QUIET: Duration = Duration::from_secs(5);
+/// Which part of all connections may be idle before new ones are not kept.
+const IDLE_PART: usize = 8;
 /// How many connections a stopping node keeps free, within a quarter of them: those that come together find one each.
 const SPARE: usize = 8;
 /// For how long a stopping node may still count on new connections.
@@ -193,7 +197,10 @@
             let (phase, since) = client.sock.phase();
             let over = match phase {
                 Phase::Idle if !client.sock.spoke() => since.elapsed() >= SILENT,
-                Phase::Idle => since.elapsed() >= IDLE && client.sock.quiet(),
+                Phase::Idle => {
+                    let most = if client.sock.answers() == 1 { IDLE_ONCE } else { IDLE };
+                    since.elapsed() >= most && client.sock.quiet()
+                }
                 Phase::Reading => client.sock.overdue(),
                 Phase::Busy => false,
                 Phase::Answering => since.elapsed() >= ANSWERING,
@@ -224,9 +231,22 @@
         if self.node.stopping.get().is_none_or(|since| since.elapsed() < STILL_DEALT) {
             return false;
         }
-        let free = |c: &&Rc<Client>| c.sock.phase().0 == Phase::Idle && c.sock.spoke();
-        let free = self.open.borrow().values().filter(free).count();
-        free < SPARE.min(self.count() / 4)
+        self.idle() < SPARE.min(self.count() / 4)
+    }
+
+    /// How many connections have been used and are idle.
+    fn idle(&self) -> usize {
+        let idle = |c: &&Rc<Client>| c.sock.phase().0 == Phase::Idle && c.sock.spoke();
+        self.open.borrow().values().filter(idle).count()
+    }
+
+    /// Are so many idle that one more would better close with its first answer? Who uses connections again opens one
+    /// only where none is free; one that comes while many are idle is likely from a client that asks once and lets it
+    /// stand. Hundreds of those take up all the connections that clients and node may have, and whoever comes next
+    /// finds none. It guards as well against crowds that ask for /ready over ever new ones. It does harm where many
+    /// clients come for the first time at a quiet moment: each has to connect a second time.
+    fn many_idle(&self) -> bool {
+        self.idle() >= self.most / IDLE_PART
     }
 
     /// Closes one connection, those first that never said a word, then the one that has been idle for longest, then
@@ -307,7 +327,8 @@
             Err(bad) => bad.answer(),
         }
     };
-    if node.closing.get() {
+    let first = sock.answers() == 0;
+    if node.closing.get() || (first && clients.many_idle()) {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     if sock.phase().0 == Phase::Reading {
--- a/src/net/sock.rs
+++ b/src/net/sock.rs
@@ -116,6 +116,8 @@
     serves: bool,
     /// Anything ever came.
     spoke: Cell<bool>,
+    /// How many requests have been answered, or are being.
+    answers: Cell<usize>,
     /// Something came while a request was served: the next one, or a part of it.
     ahead: Cell<bool>,
     /// How many bytes came since the present request began to.
@@ -154,6 +156,7 @@
             due: Cell::new(now + REQUEST_WITHIN),
             serves,
             spoke: Cell::new(false),
+            answers: Cell::new(0),
             ahead: Cell::new(false),
             came: Cell::new(0),
             head: RefCell::default(),
@@ -190,6 +193,9 @@
     pub fn enter(&self, phase: Phase) {
         self.phase.set(phase);
         self.since.set(Instant::now());
+        if phase == Phase::Answering {
+            self.answers.set(self.answers.get() + 1);
+        }
         if phase != Phase::Reading {
             *self.head.borrow_mut() = None;
         }
@@ -205,6 +211,11 @@
         self.spoke.get()
     }
 
+    /// How many requests have been answered, or are being.
+    pub fn answers(&self) -> usize {
+        self.answers.get()
+    }
+
     /// Is it sure that the head of the present request, as it came, has no such header (named in lower case)?
     /// hyper drops a length that stands behind a transfer coding before anyone can see it.
     pub fn head_lacks(&self, name: &str) -> bool {
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -261,3 +261,33 @@
     let served = (0..6).filter(|n| ask(*n) == 200).count();
     assert_eq!(served, 5, "only the first is lost");
 }
+
+/// Clients that ask once and keep their connection for good must not use up what others need: from some idle ones on a
+/// new connection is closed, and said to be, with its first answer. One that is used again stays, and one that has
+/// brought a single request is let go after a while.
+#[test]
+fn connections_that_are_used_once_are_not_collected() {
+    let server = Peer::good("a");
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let node = Node::ready(&config(registry.address));
+    let mut used = Client::to(&node);
+    for n in 0..2 {
+        let heard = used.ask(&request("look", &format!("used{n}"), 15_000));
+        assert_eq!((heard.status(), heard.header("connection")), (200, None));
+    }
+    let mut once: Vec<Client> = Vec::new();
+    let mut closed = 0;
+    for n in 0..60 {
+        let mut client = Client::to(&node);
+        let heard = client.ask(&request("look", &format!("once{n}"), 15_000));
+        assert_eq!(heard.status(), 200);
+        closed += usize::from(heard.header("connection") == Some("close"));
+        once.push(client);
+    }
+    assert!((30..60).contains(&closed), "{closed} of 60 were closed");
+    let heard = used.ask(&request("look", "again", 15_000));
+    assert_eq!((heard.status(), heard.header("connection")), (200, None), "one that is used stays");
+    assert!(once[0].ended(), "one that is not used again is let go");
+    let heard = used.ask(&request("look", "later", 15_000));
+    assert_eq!((heard.status(), heard.header("connection")), (200, None), "one that was used twice stays");
+}
