Dead connections are told from slow servers; attempts that are stuck take no place in a limit

The module believes them full: four or five attempts, all dead, fill a limit of four until their deadlines (balance.rs has_room); each one's time-out lowers the limit by a fifth (learn) and three in a row eject the server (detect_outlier). Half the fleet was ejected or full at limits of 1.8 to 2.8.

Change: an attempt that times out unheard on a kept connection, while its server answered what was sent later, says nothing of the server (Outcome::Unheard; it may have run). Attempts out for more than 0.6 of the longest aim take no place, up to four times the limit. After 0.4 s unheard, not 1 s, older connections are left alone. The new loopback test fails without the change.

--- a/src/api.rs
+++ b/src/api.rs
@@ -261,6 +261,8 @@
     Full,
     /// No answer in time; it may have run, or may still.
     TimedOut,
+    /// No byte in time on a kept connection, while the server answered what was sent later; it may have run.
+    Unheard,
     /// No connection; it never ran.
     ConnectFailed,
     /// The connection broke; it may have run.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -55,6 +55,10 @@
 const FLEET_LEAST: f64 = 0.25;
 /// How far the fleet's factor may rise above 1, so that a few late answers do not make it act.
 const FLEET_RESERVE: f64 = 2.0;
+/// From which part of the longest aim on an attempt that is out takes no place in its server's limit, and how
+/// many times the limit may be out with those.
+const STUCK: f64 = 0.6;
+const STUCK_MOST: f64 = 4.0;
 /// Part of its aim that a request may be held at the node: in a burst, and in a lasting overload.
 const HOLD: (f64, f64) = (0.25, 0.1);
 
@@ -664,11 +668,17 @@
     }
 
     /// A server full with our own attempts is passed over: on turns alone a slow one keeps its full turn
-    /// while its queue grows until nothing that it is sent comes in time.
+    /// while its queue grows until nothing that it is sent comes in time. What has been out for long takes no
+    /// place, up to a bound: on connections that went dead a few attempts would else keep an idle server full
+    /// until their deadlines. It guards as well against single requests of enormous work; it could overload a
+    /// server that is this slow with everything, whose limit falls with each late answer, though.
     fn has_room(&self, server: &Server) -> bool {
         let limit = server.allowed(self.fleet, self.least_limit());
         if limit >= 1.0 {
-            return (server.out.len() as f64) < limit.floor();
+            let stuck_from = self.now - STUCK * self.set.classes.iter().map(|c| c.aim).fold(0.0, f64::max);
+            let moving = server.out.iter().filter(|(_, _, sent)| *sent > stuck_from).count();
+            return (moving as f64) < limit.floor()
+                && (server.out.len() as f64) < STUCK_MOST * self.first_limit().max(limit);
         }
         server.out.is_empty() && self.now - server.last_sent >= self.rest(server)
     }
@@ -767,8 +777,8 @@
                 (server.consecutive_failures, server.ejections) = (0, 0);
                 server.last_reset = f64::NEG_INFINITY;
             }
-            // What a client sends says nothing of the server that turns it down.
-            Outcome::Cancelled | Outcome::NotSent | Outcome::Full | Outcome::Rejected => {}
+            // What a client sends says nothing of the server that turns it down, nor does a dead connection.
+            Outcome::Cancelled | Outcome::NotSent | Outcome::Full | Outcome::Rejected | Outcome::Unheard => {}
             Outcome::ConnectFailed => self.suspect(id, outcome, took),
             // Servers close on what they can't read, and break off single answers. To take each for a crash
             // would put the whole fleet on cold budgets. Several that break together are another matter.
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -31,8 +31,8 @@
 /// when its server closes it ends as a reset, and fails what must not be repeated.
 const IDLE_SHARE: f64 = 0.5;
 
-/// From when on an attempt counts as long unheard: well beyond what is usual for an answer.
-const UNHEARD: Duration = Duration::from_millis(1000);
+/// From when on an attempt counts as long unheard: beyond what is usual for an answer. Too soon costs new connections.
+const UNHEARD: Duration = Duration::from_millis(400);
 
 /// What a connect fails with through no fault of the server: ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS, ENOMEM.
 const OWN_ERRORS: [i32; 5] = [23, 24, 99, 105, 12];
@@ -86,6 +86,8 @@
     idle: RefCell<HashMap<ServerId, Vec<Link>>>,
     /// When each attempt was written to which no byte has come back.
     unheard: RefCell<HashMap<ServerId, Vec<(u64, Instant)>>>,
+    /// When the latest of the attempts was sent that a server has answered.
+    answered: RefCell<HashMap<ServerId, Instant>>,
     last: Cell<u64>,
     held: Rc<Cell<usize>>,
     most: usize,
@@ -100,6 +102,7 @@
         Self {
             idle: RefCell::default(),
             unheard: RefCell::default(),
+            answered: RefCell::default(),
             last: Cell::new(0),
             held: Rc::default(),
             most: config.servers_most(),
@@ -110,6 +113,7 @@
 
     /// Closes the idle connections to a server.
     pub fn forget(&self, server: ServerId) {
+        self.answered.borrow_mut().remove(&server);
         self.idle.borrow_mut().remove(&server);
     }
 
@@ -154,6 +158,18 @@
         Expected { pool: self.clone(), server, number }
     }
 
+    /// A server has answered what was sent then.
+    fn heard(&self, server: ServerId, sent: Instant) {
+        let mut answered = self.answered.borrow_mut();
+        let last = answered.entry(server).or_insert(sent);
+        *last = sent.max(*last);
+    }
+
+    /// Has a server answered what was sent to it later? Then it is not the server that is silent.
+    fn overtaken(&self, server: ServerId, sent: Instant) -> bool {
+        self.answered.borrow().get(&server).is_some_and(|last| *last > sent)
+    }
+
     /// Closes the idle connections to a server that were last used before an attempt that nothing came back of.
     fn distrust(&self, server: ServerId, sent: Instant) {
         if let Some(links) = self.idle.borrow_mut().get_mut(&server) {
@@ -273,6 +289,7 @@
             // is still the same attempt.
             Ok(Err(_)) if reused && !any => continue,
             Ok(Ok(heard)) => {
+                node.pool.heard(server, sent);
                 // One that has more to read than the answer would answer the next request with it.
                 if heard.keep
                     && whole
@@ -288,6 +305,11 @@
             Ok(Err(Broken::Link)) if whole => return (Outcome::Reset, None),
             Ok(Err(Broken::Garbled)) if whole => return (Outcome::Error, None),
             Ok(Err(_)) => return (Outcome::ConnectFailed, None),
+            // A kept connection that is dead must not pass for a slow server: that would eject it, and lower its limit,
+            // for each connection that was kept. One that is slow with all it has is not overtaken.
+            Err(_) if whole && reused && !link.sock.heard_any() && node.pool.overtaken(server, sent) => {
+                return (Outcome::Unheard, None)
+            }
             Err(_) if whole => return (Outcome::TimedOut, None),
             Err(_) => return (Outcome::NotSent, None),
         }
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -262,6 +262,49 @@
     assert_eq!(served, 5, "only the first is lost");
 }
 
+/// Attempts on connections that went dead keep a server neither full until their deadlines nor, once they have timed out,
+/// under suspicion: it answers whatever comes on new ones.
+#[test]
+fn attempts_on_dead_connections_do_not_keep_a_server_full() {
+    let silent = Arc::new(AtomicBool::new(false));
+    let flag = silent.clone();
+    let server = Peer::new(move |m| match flag.load(Ordering::SeqCst) {
+        true if m.conn <= 8 => Say::Nothing,
+        _ => Say::Later(Duration::from_millis(500), answer(200, "", "served")),
+    });
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let mut config = config(registry.address);
+    config["settings"]["Limits"]["Probes"] = json!(false);
+    let node = Node::ready(&config);
+    let mut clients: Vec<Client> = (0..8).map(|_| Client::to(&node)).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&request("slip", &format!("t{n}"), 15_000));
+    }
+    for client in &mut clients {
+        assert_eq!(client.hear().expect("an answer").status(), 200);
+    }
+    silent.store(true, Ordering::SeqCst);
+    let began = Instant::now();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&request("slip", &format!("dead{n}"), 9_000));
+    }
+    let (mut other, mut count) = (Client::to(&node), 0);
+    until("others are served", || {
+        count += 1;
+        other.ask(&request("slip", &format!("n{count}"), 15_000)).status() == 200
+    });
+    assert!(began.elapsed() < Duration::from_millis(6500), "{:?}", began.elapsed());
+    for client in &mut clients {
+        assert_ne!(client.hear().expect("an answer").status(), 200);
+    }
+    for (n, client) in clients.iter_mut().enumerate().take(6) {
+        client.send(&request("slip", &format!("later{n}"), 15_000));
+    }
+    for client in clients.iter_mut().take(6) {
+        assert_eq!(client.hear().expect("an answer").status(), 200, "its limit has not fallen");
+    }
+}
+
 /// Clients that ask once and keep their connection for good must not use up what others need: from some idle ones on a
 /// new connection is closed, and said to be, with its first answer. One that is used again stays, and one that has
 /// brought a single request is let go after a while.
