The test of the stopping node's free connections fails without them

Run against the code before the guard it passed: with one server its module was full and refused by itself. With six servers it has no cause to; the test then fails without the guard (checked) and passes with it (three times). The tests of once-used connections and of dead connections were run against the code before and fail there.

--- a/tests/node.rs
+++ b/tests/node.rs
@@ -356,11 +356,15 @@
 /// must not take the last ones. What is one too many is refused at once, with a word on when to come back.
 #[test]
 fn a_stopping_node_keeps_some_connections_free() {
-    let server = Peer::new(|m| {
-        let slow = m.header("x-txn").is_some_and(|txn| txn.starts_with("slow"));
-        Say::Later(Duration::from_millis(if slow { 1000 } else { 0 }), answer(200, "", "served"))
+    // So many that none is ever full: the module has no cause to refuse.
+    let servers = [(); 6].map(|()| {
+        Peer::new(|m| {
+            let slow = m.header("x-txn").is_some_and(|txn| txn.starts_with("slow"));
+            Say::Later(Duration::from_millis(if slow { 1000 } else { 0 }), answer(200, "", "served"))
+        })
     });
-    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let hosts: Vec<Value> = (0..6).map(|n| host(&format!("s{n}"), servers[n].address, "active", 1)).collect();
+    let registry = Registry::new(&hosts);
     let mut node = Node::ready(&config(registry.address));
     let mut clients: Vec<Client> = (0..8).map(|_| Client::to(&node)).collect();
     for (n, client) in clients.iter_mut().enumerate() {
