The list can follow registrations: view, registrar, one list out of two sources

Need: a server's disappearance must be seen within the 500 ms rule, and a coordination service that is away must not empty the list.

Change: crates/list holds an entry of the list, moved out of the node, and the merge of two sources (a departure and a drain hold whoever says them; for the rest the later birth). crates/coordination gains the view (suspects, flapping, duplicates, garbage), the registrar, the saved view with its checksum, one trait for its machines and a driver on sockets. The node follows registrations where the operator's file has a table for them, off without it. The guard keeps back only servers that still answer. The module has an event for news that is no answer to a call. `glenctl register` keeps a server's entry for as long as its process runs and drains it first. A follower reads unfit data once, and the names of a long list not more often than their number allows.

The test of garbage failed before unfit data was remembered: a megabyte was read again at every change.

--- a/crates/coordination/src/follow.rs
+++ b/crates/coordination/src/follow.rs
@@ -7,16 +7,20 @@
 //! It says nothing before it has read all of it once. From then on it keeps what it knows for as long as the service is
 //! away: nobody is gone because nobody could be asked.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 
 use bytes::Bytes;
 
+use crate::machine::{Machine, Step};
 use crate::proto::{Code, EventKind, Request, Response};
 use crate::session::{Event, Failed, Session, Settings};
 use crate::Millis;
 
 /// How many reads of data may be under way: the rest waits, so that a large list comes in within bounded memory.
 const READS_MOST: usize = 256;
+/// How long the names are left alone after a reading, for each of them: a watch brings no names, so that each reading
+/// costs all of them. Departures do not wait for it: they are said by the watch on the child's data.
+const PAUSE_FOR_EACH: Millis = 0.02;
 /// The longest data that is taken; what is longer is no registration.
 pub const DATA_MOST: usize = 16 * 1024;
 
@@ -69,10 +73,13 @@
     known: BTreeMap<String, Bytes>,
     /// The names as last read.
     names: BTreeSet<String>,
-    /// Data that is still to be read.
+    /// Data that is still to be read, in order, and the same to look up.
     unread: VecDeque<String>,
+    queued: HashSet<String>,
     /// Data whose reading is under way.
     reading: BTreeSet<String>,
+    /// Names whose data is no registration: they are not read again before it changes.
+    unfit: BTreeSet<String>,
     /// Nothing is said yet: all is being read, since a new session.
     gathering: bool,
     /// The names are being read.
@@ -82,9 +89,47 @@
     /// They have been read in this session.
     read_once: bool,
     looked: Millis,
+    /// A watch on the names has fired, and they are read at this time.
+    list_at: Option<Millis>,
     outputs: VecDeque<Output>,
 }
 
+impl Machine for Follower {
+    type Said = Output;
+
+    fn poll(&mut self) -> Option<Step<Output>> {
+        Some(match Follower::poll(self)? {
+            Output::Connect(member) => Step::Connect(member),
+            Output::Disconnect => Step::Disconnect,
+            said => Step::Said(said),
+        })
+    }
+
+    fn output(&mut self) -> Vec<u8> {
+        Follower::output(self)
+    }
+
+    fn poll_timeout(&self) -> Option<Millis> {
+        Follower::poll_timeout(self)
+    }
+
+    fn handle_timeout(&mut self, now: Millis) {
+        Follower::handle_timeout(self, now);
+    }
+
+    fn connected(&mut self, now: Millis) {
+        Follower::connected(self, now);
+    }
+
+    fn broken(&mut self, now: Millis) {
+        Follower::broken(self, now);
+    }
+
+    fn received(&mut self, now: Millis, bytes: &[u8]) {
+        Follower::received(self, now, bytes);
+    }
+}
+
 impl Follower {
     /// Follows the children of `path` from now on.
     pub fn new(now: Millis, settings: Settings, path: &str, look_every: Millis) -> Self {
@@ -95,12 +140,15 @@
             known: BTreeMap::new(),
             names: BTreeSet::new(),
             unread: VecDeque::new(),
+            queued: HashSet::new(),
             reading: BTreeSet::new(),
+            unfit: BTreeSet::new(),
             gathering: true,
             listing: false,
             again: false,
             read_once: false,
             looked: now,
+            list_at: None,
             outputs: VecDeque::new(),
         };
         follower.settle(now);
@@ -129,14 +177,16 @@
 
     /// When [`Follower::handle_timeout`] is to be called.
     pub fn poll_timeout(&self) -> Option<Millis> {
-        let look = self.session.is_connected().then_some(self.looked + self.look_every);
+        let look = self.looked + self.look_every;
+        let look = self.session.is_connected().then_some(self.list_at.map_or(look, |at| at.min(look)));
         [self.session.poll_timeout(), look].into_iter().flatten().min_by(f64::total_cmp)
     }
 
     /// Does what is due by now.
     pub fn handle_timeout(&mut self, now: Millis) {
         self.session.handle_timeout(now);
-        if self.session.is_connected() && now >= self.looked + self.look_every {
+        let due = self.list_at.is_some_and(|at| now >= at) || now >= self.looked + self.look_every;
+        if self.session.is_connected() && due {
             self.list(now);
         }
         self.settle(now);
@@ -170,7 +220,7 @@
 
     /// Reads the names, once more behind a reading that is under way.
     fn list(&mut self, now: Millis) {
-        self.looked = now;
+        (self.looked, self.list_at) = (now, None);
         if std::mem::replace(&mut self.listing, true) {
             self.again = true;
             return;
@@ -180,7 +230,7 @@
     }
 
     fn want(&mut self, name: String) {
-        if !self.unread.contains(&name) {
+        if self.queued.insert(name.clone()) {
             self.unread.push_back(name);
         }
     }
@@ -194,6 +244,7 @@
                 break;
             }
             let Some(name) = self.unread.pop_front() else { break };
+            self.queued.remove(&name);
             if !self.names.contains(&name) || self.reading.contains(&name) {
                 // One that is being read and has changed once more fires its new watch.
                 continue;
@@ -228,7 +279,14 @@
                     self.names.clone().into_iter().for_each(|name| self.want(name));
                 }
             }
-            Event::Fired(event) if event.path == self.path => self.list(now),
+            Event::Fired(event) if event.path == self.path => {
+                let at = self.looked + PAUSE_FOR_EACH * self.names.len() as Millis;
+                if now >= at {
+                    self.list(now);
+                } else {
+                    self.list_at = Some(at);
+                }
+            }
             Event::Fired(event) => {
                 if let Some(name) = self.name_of(&event.path).map(str::to_string) {
                     match event.kind {
@@ -261,8 +319,12 @@
         let gone: Vec<String> = self.known.keys().filter(|name| !names.contains(*name)).cloned().collect();
         let new: Vec<String> = names.difference(&self.names).cloned().collect();
         // Those that were known before a new session, too, and those whose reading was cut off.
-        let missing: Vec<String> =
-            names.iter().filter(|name| !self.known.contains_key(*name)).cloned().collect();
+        let missing: Vec<String> = names
+            .iter()
+            .filter(|n| !self.known.contains_key(*n) && !self.unfit.contains(*n))
+            .cloned()
+            .collect();
+        self.unfit.retain(|name| names.contains(name));
         self.names = names;
         self.read_once = true;
         gone.iter().for_each(|name| self.gone(name));
@@ -276,9 +338,11 @@
         self.reading.remove(&name);
         match answer {
             Ok(Response::Data { data, .. }) if data.len() > DATA_MOST => {
+                self.unfit.insert(name.clone());
                 self.outputs.push_back(Output::Change(Change::Unfit(name)));
             }
             Ok(Response::Data { data, .. }) => {
+                self.unfit.remove(&name);
                 if !self.names.contains(&name) || self.known.get(&name) == Some(&data) {
                     return;
                 }
@@ -295,6 +359,7 @@
 
     fn gone(&mut self, name: &str) {
         self.names.remove(name);
+        self.unfit.remove(name);
         if self.known.remove(name).is_some() && !self.gathering {
             self.outputs.push_back(Output::Change(Change::Gone(name.to_string())));
         }
--- a/crates/coordination/src/guard.rs
+++ b/crates/coordination/src/guard.rs
@@ -4,8 +4,8 @@
 //! Whether a server that the service calls gone may still be used is not a node's to choose: the drain rule stands, so
 //! what is gone must be passed on within [`Settings::hold`], which is bounded well under the rule's 500 ms. Within that
 //! moment the guard keeps back what looks like a fault of the service: when more than [`Settings::share`] of the list
-//! vanishes within [`Settings::window`], each further one waits, and one that is back by then was never gone. The first
-//! few are passed on at once, as single departures are.
+//! vanishes within [`Settings::window`], each further one waits while it still answers, and one that is back by then was
+//! never gone. The first few are passed on at once, as single departures are, and as those are that answer nobody.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
@@ -111,8 +111,8 @@
         }
     }
 
-    /// Takes what a follower says.
-    pub fn take(&mut self, now: Millis, change: Change) {
+    /// Takes what a follower says; `answers` tells of a server whether it was seen to answer just now.
+    pub fn take(&mut self, now: Millis, change: Change, answers: &dyn Fn(&str) -> bool) {
         self.handle_timeout(now);
         match change {
             Change::Whole(whole) if !std::mem::replace(&mut self.begun, true) => {
@@ -124,10 +124,13 @@
                 for (name, data) in &whole {
                     self.set(name.clone(), data.clone());
                 }
-                names.into_iter().filter(|n| !whole.contains_key(n)).for_each(|name| self.gone(now, name));
+                names
+                    .into_iter()
+                    .filter(|n| !whole.contains_key(n))
+                    .for_each(|name| self.gone(now, name, answers));
             }
             Change::Set(name, data) => self.set(name, data),
-            Change::Gone(name) => self.gone(now, name),
+            Change::Gone(name) => self.gone(now, name, answers),
             unfit @ Change::Unfit(_) => self.outputs.push_back(unfit),
         }
     }
@@ -142,7 +145,7 @@
         }
     }
 
-    fn gone(&mut self, now: Millis, name: String) {
+    fn gone(&mut self, now: Millis, name: String, answers: &dyn Fn(&str) -> bool) {
         if !self.there.contains_key(&name) || self.held.contains_key(&name) {
             return;
         }
@@ -153,7 +156,7 @@
         let all = self.there.len() + self.left.len() - self.held.len().min(self.left.len());
         self.left.push_back(now);
         let many = self.left.len() as f64 > (self.settings.share * all as f64).max(1.0);
-        if many && self.settings.hold > 0.0 {
+        if many && self.settings.hold > 0.0 && answers(&name) {
             self.held.insert(name, now + self.settings.hold);
         } else {
             self.there.remove(&name);
--- a/crates/coordination/src/session.rs
+++ b/crates/coordination/src/session.rs
@@ -17,6 +17,7 @@
 
 use crate::frame::{framed, Frames, LONGEST};
 use crate::jute::Reader;
+use crate::machine::{Machine, Step};
 use crate::proto::{
     Code, ConnectRequest, ConnectResponse, EventKind, ReplyHeader, Request, Response, WatchEvent, XID_EVENT,
     XID_PING, XID_SET_WATCHES,
@@ -191,6 +192,42 @@
     events: VecDeque<Event<T>>,
 }
 
+impl<T> Machine for Session<T> {
+    type Said = Event<T>;
+
+    fn poll(&mut self) -> Option<Step<Event<T>>> {
+        Some(match Session::poll(self)? {
+            Event::Connect(member) => Step::Connect(member),
+            Event::Disconnect => Step::Disconnect,
+            said => Step::Said(said),
+        })
+    }
+
+    fn output(&mut self) -> Vec<u8> {
+        Session::output(self)
+    }
+
+    fn poll_timeout(&self) -> Option<Millis> {
+        Session::poll_timeout(self)
+    }
+
+    fn handle_timeout(&mut self, now: Millis) {
+        Session::handle_timeout(self, now);
+    }
+
+    fn connected(&mut self, now: Millis) {
+        Session::connected(self, now);
+    }
+
+    fn broken(&mut self, now: Millis) {
+        Session::broken(self, now);
+    }
+
+    fn received(&mut self, now: Millis, bytes: &[u8]) {
+        Session::received(self, now, bytes);
+    }
+}
+
 impl<T> Session<T> {
     /// A session that begins to connect now.
     pub fn new(now: Millis, settings: Settings) -> Self {
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -281,6 +281,12 @@
 
     // ---- The backend's side ----
 
+    /// Where an attempt is, while its end is still awaited.
+    pub fn server_of(&self, attempt: AttemptId) -> Option<ServerId> {
+        let tried = self.requests.get(&attempt.request)?.tries.get(attempt.number)?;
+        (tried.stage == Stage::Out).then_some(tried.server)
+    }
+
     /// An attempt has ended. Only the first word on each counts.
     pub fn attempt_ended(&mut self, now: Millis, attempt: AttemptId, ended: Ended<R>) {
         let AttemptId { request, number } = attempt;
@@ -338,6 +344,11 @@
         self.feed(now, Event::ListChange(entries));
     }
 
+    /// Entries that changed by another source than discovery: no answer to what was asked of that.
+    pub fn list_news(&mut self, now: Millis, entries: Vec<Entry>) {
+        self.feed(now, Event::ListNews(entries));
+    }
+
     /// Asking failed, or the subscription dropped.
     pub fn list_failed(&mut self, now: Millis) {
         self.feed(now, Event::ListFailed);
--- a/crates/glenctl/src/main.rs
+++ b/crates/glenctl/src/main.rs
@@ -2,6 +2,7 @@
 #![warn(missing_docs)]
 
 mod demo;
+mod register;
 mod stand_in;
 
 use std::path::PathBuf;
@@ -21,6 +22,8 @@
 enum Command {
     /// Runs two nodes between stand-ins of everything else, with a crash, a drain and a restart, and counts the rules
     Demo(demo::Arguments),
+    /// Registers a server with the coordination service for as long as it runs, and drains it before it ends
+    Register(register::Arguments),
     /// Runs one stand-in until it is interrupted, and prints its address
     StandIn {
         /// Which one
@@ -39,6 +42,7 @@
 fn main() -> ExitCode {
     match Arguments::parse().command {
         Command::Demo(arguments) => demo::run(&arguments),
+        Command::Register(arguments) => register::run(arguments),
         Command::StandIn { what } => stand_in::run(&what),
         Command::Node { operator } => glenwood_node::run(glenwood_node::Arguments { operator }),
     }
--- /dev/null
+++ b/crates/list/src/lib.rs
@@ -0,0 +1,11 @@
+//! The list of servers: its entries, as discovery and registrations write them, and one list out of both. No I/O.
+//!
+//! - [`entry`] holds one entry and a line of entries.
+//! - [`merge`] makes one list of what two sources say.
+#![warn(missing_docs)]
+
+pub mod entry;
+pub mod merge;
+
+pub use entry::{update, Dial, Health, Host, Protocol, Update};
+pub use merge::{Merge, Source};
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -7,13 +7,14 @@
 use std::time::{Duration, Instant};
 
 use glenwood_core::{AttemptId, Core, Ended, Final, Incoming, NotTaken, Output};
+use glenwood_list::{Merge, Source};
 use glenwood_policy::{Millis, Outcome, RequestId, ServerId, SettingsError};
 use tokio::sync::Notify;
 
 use crate::call::{Call, Reply};
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::list::{Place, Servers, Update};
+use crate::list::{Host, Place, Servers, Update};
 
 /// How long the node waits for discovery before it serves by the saved list.
 const READY_WITHIN: Duration = Duration::from_millis(2500);
@@ -52,6 +53,8 @@
     core: RefCell<Core<Rc<Call>, Reply>>,
     waiters: RefCell<HashMap<RequestId, Waiter>>,
     servers: RefCell<Servers>,
+    /// One list out of discovery and registrations, where both count.
+    merge: Option<RefCell<Merge>>,
     /// The version of the list; `None` asks for the whole.
     version: Cell<Option<u64>>,
     /// Discovery has answered.
@@ -79,6 +82,7 @@
             core: RefCell::new(core),
             waiters: RefCell::default(),
             servers: RefCell::new(Servers::new(config.operator.marks())),
+            merge: config.operator.registrations.as_ref().map(|_| RefCell::default()),
             version: Cell::new(None),
             informed: Cell::new(false),
             outside: OnceCell::new(),
@@ -93,7 +97,7 @@
     pub fn start(&self, outside: Rc<dyn Outside>, known: Option<Update>) {
         let _ = self.outside.set(outside);
         let saved = known.unwrap_or(Update { version: 0, whole: true, hosts: Vec::new() });
-        self.take_list(saved, true);
+        self.take_list(Source::Discovery, saved, true);
     }
 
     /// Runs the core's timer; never ends.
@@ -205,6 +209,15 @@
 
     /// An attempt has ended.
     pub fn attempt_ended(&self, attempt: AttemptId, ended: Ended<Reply>) {
+        if self.merge.is_some() {
+            let outcome = match &ended {
+                Ended::Served(_) => Outcome::Done,
+                Ended::Without(outcome) | Ended::RunsOn(outcome) => *outcome,
+            };
+            let server = self.core.borrow().server_of(attempt);
+            let now = self.clock.now();
+            server.into_iter().for_each(|server| self.servers.borrow_mut().heard(server, now, outcome));
+        }
         self.tell(|core, now| core.attempt_ended(now, attempt, ended));
     }
 
@@ -260,12 +273,34 @@
     /// Discovery has brought a list, or changes.
     pub fn listed(&self, update: Update) {
         self.informed.set(true);
-        self.take_list(update, false);
+        self.take_list(Source::Discovery, update, false);
+    }
+
+    // ---- Registrations ----
+
+    /// Registrations have changed, or are all there are; `saved` for those of before the node's start.
+    pub fn registered(&self, whole: bool, hosts: Vec<Host>, saved: bool) {
+        if !saved {
+            self.informed.set(true);
+        }
+        self.take_list(Source::Registrations, Update { version: 0, whole, hosts }, saved);
     }
 
-    fn take_list(&self, update: Update, saved: bool) {
+    /// Was the server of that name seen to answer within the last so many milliseconds, and not to fail since?
+    pub fn answers(&self, name: &str, within: Millis) -> bool {
+        let answered = self.servers.borrow().answered(name);
+        answered.is_some_and(|at| self.clock.now() - at <= within)
+    }
+
+    fn take_list(&self, source: Source, update: Update, saved: bool) {
+        if source == Source::Discovery {
+            self.version.set(Some(update.version));
+        }
+        let update = match &self.merge {
+            Some(merge) => merge.borrow_mut().take(source, update),
+            None => update,
+        };
         let whole = update.whole;
-        self.version.set(Some(update.version));
         let (entries, stale) = self.servers.borrow_mut().take(update, &self.clock);
         if let Some(outside) = self.outside.get() {
             stale.into_iter().for_each(|server| outside.forget(server));
@@ -273,8 +308,10 @@
         self.tell(|core, now| {
             if whole {
                 core.list(now, entries, saved);
-            } else {
+            } else if source == Source::Discovery {
                 core.list_changed(now, entries);
+            } else {
+                core.list_news(now, entries);
             }
         });
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,6 @@
 //! One node of the load balancer: sockets round the decision module, no decisions.
 //!
-//! Arrows go one way: `front` and `backend` and `discovery` know [`hub`], which knows the core and none of them;
+//! Arrows go one way: `front`, `backend`, `discovery` and `registrations` know [`hub`], which knows the core and none of them;
 //! [`runtime`] knows all of them and ties them together.
 #![warn(missing_docs)]
 
@@ -15,6 +15,7 @@
 pub mod list;
 pub mod log;
 pub mod operator;
+pub mod registrations;
 pub mod runtime;
 pub mod sock;
 
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -1,125 +1,19 @@
-//! The list of servers: what discovery says of them, and where each listens.
+//! The list of servers as the node holds it: where each listens, and what the module is told of it.
 
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
 
-use glenwood_policy::{Entry, Listed, ServerId};
-use serde::{Deserialize, Deserializer};
-use serde_json::Value;
+pub use glenwood_list::{update, Dial, Health, Host, Protocol, Update};
+use glenwood_policy::{Entry, Listed, Millis, Outcome, ServerId};
 
 use crate::clock::Clock;
 use crate::log;
 
-/// What a server speaks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Protocol {
-    /// HTTP/1.1.
-    Http1,
-    /// MessagePack-RPC.
-    Msgpack,
-}
-
-/// Where a server listens, and what it speaks as far as the list tells.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Dial {
-    /// Its address.
-    pub address: SocketAddr,
-    /// What it speaks.
-    pub protocol: Protocol,
-}
-
-/// How the list marks a server that speaks MessagePack-RPC.
-const MSGPACK_SCHEME: &str = "msgpack-rpc://";
-
-impl<'de> Deserialize<'de> for Dial {
-    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
-        let text = String::deserialize(from)?;
-        let (protocol, address) = match text.strip_prefix(MSGPACK_SCHEME) {
-            Some(rest) => (Protocol::Msgpack, rest),
-            None => (Protocol::Http1, text.as_str()),
-        };
-        let address = address.parse().map_err(|_| {
-            serde::de::Error::custom(format!("dial: IP address and port expected, not {text:?}"))
-        })?;
-        Ok(Self { address, protocol })
-    }
-}
-
-/// One line of discovery.
-#[derive(Debug, Deserialize)]
-pub struct Update {
-    /// The list's version.
-    #[serde(rename = "seq")]
-    pub version: u64,
-    /// The whole list, not just changes.
-    #[serde(rename = "whole")]
-    pub whole: bool,
-    /// The entries.
-    pub hosts: Vec<Host>,
-}
-
-/// One server of a line.
-#[derive(Debug, Deserialize)]
-pub struct Host {
-    /// Its name, the same at every node.
-    pub host: String,
-    /// Where it listens; one that is gone may have none.
-    #[serde(default, rename = "dial")]
-    pub dial: Option<Dial>,
-    /// Its zone.
-    #[serde(default, rename = "site")]
-    pub zone: String,
-    /// Its kind of machine.
-    #[serde(default, rename = "class")]
-    pub kind: String,
-    /// Its cell.
-    #[serde(default, rename = "block")]
-    pub cell: u64,
-    /// Its state.
-    pub health: Health,
-    /// Its weight.
-    #[serde(default = "one", rename = "share")]
-    pub weight: f64,
-    /// When it last started, Unix time in milliseconds; 0 for long ago.
-    #[serde(default)]
-    pub born_ms: f64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-/// The state of a server.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
-#[serde(rename_all = "lowercase")]
-pub enum Health {
-    /// In service.
-    Active,
-    /// Finishing its work.
-    Leaving,
-    /// Gone.
-    Left,
-}
-
-impl From<Health> for Listed {
-    fn from(health: Health) -> Self {
-        match health {
-            Health::Active => Self::Up,
-            Health::Leaving => Self::Draining,
-            Health::Left => Self::Gone,
-        }
-    }
-}
-
-/// Reads a line's object.
-///
-/// # Errors
-/// Names what is missing or malformed.
-pub fn update(value: Value) -> Result<Update, String> {
-    let update: Update = serde_json::from_value(value).map_err(|e| e.to_string())?;
-    match update.hosts.iter().find(|h| h.dial.is_none() && h.health != Health::Left) {
-        Some(host) => Err(format!("{}: dial is missing", host.host)),
-        None => Ok(update),
+/// What the module calls a state of the list.
+fn listed(health: Health) -> Listed {
+    match health {
+        Health::Active => Listed::Up,
+        Health::Leaving => Listed::Draining,
+        Health::Left => Listed::Gone,
     }
 }
 
@@ -154,6 +48,8 @@
     name: String,
     place: Place,
     state: Listed,
+    /// When it last answered, if it has not failed since.
+    answered: Option<Millis>,
 }
 
 /// All servers that the list has and that are not gone.
@@ -179,6 +75,21 @@
         self.known.get(&server).filter(|h| h.state == Listed::Up).map(|h| h.place)
     }
 
+    /// Notes how an attempt ended: whether its server answers.
+    pub fn heard(&mut self, server: ServerId, now: Millis, outcome: Outcome) {
+        let Some(known) = self.known.get_mut(&server) else { return };
+        match outcome {
+            Outcome::Done | Outcome::Error | Outcome::Full | Outcome::Rejected => known.answered = Some(now),
+            Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => known.answered = None,
+            Outcome::Unheard | Outcome::Cancelled | Outcome::NotSent => {}
+        }
+    }
+
+    /// When the server of that name last answered, if it has not failed since.
+    pub fn answered(&self, name: &str) -> Option<Millis> {
+        self.known.get(&ServerId(number_of(name))).and_then(|known| known.answered)
+    }
+
     /// Takes over what a line says. Gives the module's entries, and the servers whose connections are of no more use.
     pub fn take(&mut self, update: Update, clock: &Clock) -> (Vec<Entry>, Vec<ServerId>) {
         if update.whole {
@@ -187,17 +98,27 @@
             }
         }
         let mut stale = Vec::new();
-        let entries = update.hosts.into_iter().filter_map(|h| self.enter(h, clock, &mut stale)).collect();
-        let gone = self.known.iter().filter(|(_, h)| h.state == Listed::Gone).map(|(server, _)| *server);
-        stale.extend(gone);
-        self.known.retain(|_, h| h.state != Listed::Gone);
+        let entries: Vec<Entry> =
+            update.hosts.into_iter().filter_map(|h| self.enter(h, clock, &mut stale)).collect();
+        // What a change leaves out is as it was: nobody else is looked at.
+        let touched: Vec<ServerId> = if update.whole {
+            self.known.keys().copied().collect()
+        } else {
+            entries.iter().map(|e| e.server).collect()
+        };
+        for server in touched {
+            if self.known.get(&server).is_some_and(|h| h.state == Listed::Gone) {
+                self.known.remove(&server);
+                stale.push(server);
+            }
+        }
         (entries, stale)
     }
 
     /// Notes what a line says of a server. It holds from now on, also for sends on their way.
     fn enter(&mut self, host: Host, clock: &Clock, stale: &mut Vec<ServerId>) -> Option<Entry> {
         let server = ServerId(number_of(&host.host));
-        let state = Listed::from(host.health);
+        let state = listed(host.health);
         let before = self.known.get(&server);
         if let Some(other) = before.filter(|b| b.name != host.host) {
             log::line(format!("discovery: {} and {} have one number, left out", other.name, host.host));
@@ -214,7 +135,8 @@
         }
         if let Some(dial) = dial {
             let place = Place { dial, born_ms: host.born_ms };
-            self.known.insert(server, Known { name: host.host, place, state });
+            let answered = before.filter(|b| b.place == place).and_then(|b| b.answered);
+            self.known.insert(server, Known { name: host.host, place, state, answered });
         }
         Some(Entry {
             server,
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -2,8 +2,10 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::ops::RangeInclusive;
+use std::path::{Path, PathBuf};
 
+use glenwood_coordination::guard::HOLD_MOST;
 use toml::{Table, Value};
 
 use crate::list::Marks;
@@ -23,6 +25,70 @@
     pub server_kinds: Vec<String>,
     /// Servers that speak MessagePack-RPC, by name.
     pub server_hosts: Vec<String>,
+    /// Where servers register, if they do.
+    pub registrations: Option<Registrations>,
+}
+
+/// How the list follows registrations.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Registrations {
+    /// The members of the coordination service, 1 to 9.
+    pub members: Vec<SocketAddr>,
+    /// The node of the tree whose children are the servers.
+    pub path: String,
+    /// The session's time-out that is asked for, 100 to 60,000 ms.
+    pub timeout_ms: usize,
+    /// How often the names are looked at though no watch has fired, 1,000 to 3,600,000 ms.
+    pub look_every_ms: usize,
+    /// The list is made of registrations alone: discovery is not asked.
+    pub alone: bool,
+    /// How long a departure is kept back that looks like a fault of the service, 0 to 400 ms; 0: not at all.
+    pub guard_hold_ms: usize,
+    /// Which part of the list may vanish without suspicion, above 0 and up to 1 ...
+    pub guard_share: f64,
+    /// ... within which time, 1 to 60,000 ms.
+    pub guard_window_ms: usize,
+    /// How long a server that answers though its registration has ended is listed as draining, 0 to 600,000 ms.
+    pub suspect_ms: usize,
+    /// How old an answer may be that speaks for a server, 1 to 60,000 ms.
+    pub answer_ms: usize,
+    /// Where the last view is saved, on a disk that lasts.
+    pub save: Option<PathBuf>,
+}
+
+impl Registrations {
+    fn take(table: Table) -> Result<Self, String> {
+        let mut f = Fields { path: "registrations", table };
+        let address = |v: &Value| v.as_str().and_then(|text| text.parse().ok());
+        let members = |value: Value| value.as_array()?.iter().map(address).collect::<Option<Vec<_>>>();
+        let members = |value| members(value).filter(|all| (1..=9).contains(&all.len()));
+        let is_path = |text: &str| {
+            text.starts_with('/') && text[1..].split('/').all(|part| !part.is_empty() && !part.contains('\0'))
+        };
+        let path = |value: Value| value.as_str().filter(|text| is_path(text)).map(str::to_string);
+        let share = |value: Value| {
+            let share = value.as_float().or(value.as_integer().map(|n| n as f64));
+            share.filter(|share| *share > 0.0 && *share <= 1.0)
+        };
+        let file = |value: Value| value.as_str().filter(|text| !text.is_empty()).map(PathBuf::from);
+        let taken = Self {
+            members: f
+                .take("members", "a list of 1 to 9 IP addresses and ports", members)?
+                .ok_or("registrations.members: needed where there is a table registrations")?,
+            path: f.take("path", "a path such as /servers", path)?.unwrap_or("/servers".into()),
+            timeout_ms: f.within("timeout_ms", 100..=60_000, 2000)?,
+            look_every_ms: f.within("look_every_ms", 1000..=3_600_000, 60_000)?,
+            alone: f.take("alone", "true or false", |v| v.as_bool())?.unwrap_or(false),
+            guard_hold_ms: f.within("guard_hold_ms", 0..=HOLD_MOST as usize, 0)?,
+            guard_share: f.take("guard_share", "a share above 0 and up to 1", share)?.unwrap_or(0.3),
+            guard_window_ms: f.within("guard_window_ms", 1..=60_000, 2000)?,
+            suspect_ms: f.within("suspect_ms", 0..=600_000, 10_000)?,
+            answer_ms: f.within("answer_ms", 1..=60_000, 2000)?,
+            save: f.take("save", "the path of a file", file)?,
+        };
+        f.end()?;
+        Ok(taken)
+    }
 }
 
 impl Default for Operator {
@@ -34,6 +100,7 @@
             calls_per_connection: 16,
             server_kinds: Vec::new(),
             server_hosts: Vec::new(),
+            registrations: None,
         }
     }
 }
@@ -65,10 +132,15 @@
         read(value).map(Some).ok_or_else(|| format!("{name}: {want} expected, not {shown}"))
     }
 
-    fn count(&mut self, key: &str, most: usize, default: usize) -> Result<usize, String> {
+    fn within(&mut self, key: &str, bounds: RangeInclusive<usize>, default: usize) -> Result<usize, String> {
+        let want = format!("a whole number from {} to {}", bounds.start(), bounds.end());
         let fits = |value: Value| value.as_integer().and_then(|n| usize::try_from(n).ok());
-        let fits = |value| fits(value).filter(|n| (1..=most).contains(n));
-        Ok(self.take(key, &format!("a whole number from 1 to {most}"), fits)?.unwrap_or(default))
+        let fits = |value| fits(value).filter(|n| bounds.contains(n));
+        Ok(self.take(key, &want, fits)?.unwrap_or(default))
+    }
+
+    fn table(&mut self, key: &str) -> Result<Option<Table>, String> {
+        self.take(key, "a table", |v| if let Value::Table(t) = v { Some(t) } else { None })
     }
 
     fn names(&mut self, key: &str) -> Result<Vec<String>, String> {
@@ -106,19 +178,21 @@
             format!("line {at}: {}", e.message())
         })?;
         let mut top = Fields { path: "", table };
-        let msgpack =
-            top.take("msgpack", "a table", |v| if let Value::Table(t) = v { Some(t) } else { None })?;
+        let msgpack = top.table("msgpack")?.unwrap_or_default();
+        let registrations = top.table("registrations")?;
         top.end()?;
-        let mut f = Fields { path: "msgpack", table: msgpack.unwrap_or_default() };
+        let registrations = registrations.map(Registrations::take).transpose()?;
+        let mut f = Fields { path: "msgpack", table: msgpack };
         let default = Self::default();
         let address = |value: Value| value.as_str().and_then(|text| text.parse().ok());
         let operator = Self {
             msgpack_listen: f.take("listen", "an IP address and port", address)?,
             msgpack_shared: f.take("shared", "true or false", |v| v.as_bool())?.unwrap_or(false),
-            open_calls: f.count("open_calls", 1024, default.open_calls)?,
-            calls_per_connection: f.count("calls_per_connection", 256, default.calls_per_connection)?,
+            open_calls: f.within("open_calls", 1..=1024, default.open_calls)?,
+            calls_per_connection: f.within("calls_per_connection", 1..=256, default.calls_per_connection)?,
             server_kinds: f.names("server_kinds")?,
             server_hosts: f.names("server_hosts")?,
+            registrations,
         };
         f.end()?;
         Ok(operator)
@@ -154,6 +228,17 @@
         assert!(operator.marks().kinds.contains("m2") && operator.marks().hosts.contains("s-2"));
     }
 
+    #[test]
+    fn registrations_are_off_without_their_table_and_mild_with_it() {
+        assert_eq!(Operator::parse("").expect("good").registrations, None);
+        let text =
+            "[registrations]\nmembers = ['127.0.0.1:2181', '[::1]:2181']\nsave = '/var/lib/glenwood/view'\n";
+        let told = Operator::parse(text).expect("good").registrations.expect("on");
+        assert_eq!((told.members.len(), told.path.as_str(), told.alone), (2, "/servers", false));
+        assert_eq!((told.guard_hold_ms, told.timeout_ms), (0, 2000));
+        assert_eq!(told.save, Some("/var/lib/glenwood/view".into()));
+    }
+
     #[test]
     fn a_bad_file_is_refused_with_its_field_and_reason() {
         let bad = [
@@ -176,6 +261,35 @@
             ),
             ("[msgpack]\nserver_kinds = 'm2'", "msgpack.server_kinds: a list of names expected, not \"m2\""),
             ("[msgpack]\nserver_hosts = ['']", "msgpack.server_hosts: a list of names expected, not [\"\"]"),
+            ("[registrations]", "registrations.members: needed where there is a table registrations"),
+            (
+                "[registrations]\nmembers = []",
+                "registrations.members: a list of 1 to 9 IP addresses and ports expected, not []",
+            ),
+            (
+                "[registrations]\nmembers = ['zk1:2181']",
+                "registrations.members: a list of 1 to 9 IP addresses and ports expected, not [\"zk1:2181\"]",
+            ),
+            (
+                "[registrations]\nmembers = ['127.0.0.1:2181']\nguard_hold_ms = 401",
+                "registrations.guard_hold_ms: a whole number from 0 to 400 expected, not 401",
+            ),
+            (
+                "[registrations]\nmembers = ['127.0.0.1:2181']\nguard_share = 0",
+                "registrations.guard_share: a share above 0 and up to 1 expected, not 0",
+            ),
+            (
+                "[registrations]\nmembers = ['127.0.0.1:2181']\ntimeout_ms = 99",
+                "registrations.timeout_ms: a whole number from 100 to 60000 expected, not 99",
+            ),
+            (
+                "[registrations]\nmembers = ['127.0.0.1:2181']\npath = '/servers/'",
+                "registrations.path: a path such as /servers expected, not \"/servers/\"",
+            ),
+            (
+                "[registrations]\nmembers = ['127.0.0.1:2181']\nsession = 1",
+                "registrations.session: no such field",
+            ),
             ("[msgpack]\nlissten = '127.0.0.1:1'", "msgpack.lissten: no such field"),
         ];
         for (text, words) in bad {
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -19,6 +19,7 @@
 use crate::hub::{Hub, Outside};
 use crate::list::Protocol;
 use crate::log;
+use crate::registrations;
 
 /// How long connections still come after SIGTERM, at the least.
 const ACCEPT: Duration = Duration::from_millis(500);
@@ -75,6 +76,9 @@
     }
 
     fn subscribe(&self) {
+        if self.hub.config.operator.registrations.as_ref().is_some_and(|r| r.alone) {
+            return;
+        }
         let call = spawn_local(discovery::follow(self.hub.clone(), self.discovery.get())).abort_handle();
         // One call at a time: what the module no longer waits for is only load on the service.
         if let Some(old) = self.call.borrow_mut().replace(call) {
@@ -132,6 +136,10 @@
         hub: hub.clone(),
     });
     hub.start(links.clone(), known);
+    if let Some(told) = hub.config.operator.registrations.clone() {
+        registrations::take_saved(&hub, &told);
+        spawn_local(registrations::follow(hub.clone(), told));
+    }
     let fronts = Fronts::new(&hub, descriptors);
     spawn_local(hub.clone().run_timer());
     spawn_local(sweep(links.clone(), fronts.clone()));
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -296,6 +296,8 @@
     },
     /// The entries that changed.
     ListChange(Vec<Entry>),
+    /// The same from another source than the one that was asked: no answer to a call.
+    ListNews(Vec<Entry>),
     /// Asking failed, or the subscription dropped.
     ListFailed,
     /// Discovery is elsewhere from now on: what was asked of it so far is void.
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -355,6 +355,7 @@
         match event {
             Event::List { entries, saved } => self.on_list(entries, !saved, true),
             Event::ListChange(entries) => self.on_list(entries, true, false),
+            Event::ListNews(entries) => self.on_list(entries, false, false),
             Event::ListFailed => self.on_list_failed(),
             // Whatever backoff the old address had earned, the new one is asked at once.
             Event::DiscoveryMoved => self.call = Call::AskAt(now, 0),
--- a/crates/testkit/src/coordination/ensemble.rs
+++ b/crates/testkit/src/coordination/ensemble.rs
@@ -320,6 +320,14 @@
         self.conns.get(&id).is_none_or(|c| c.closed)
     }
 
+    /// What a client could know over this connection: what its member has applied. `None` where its member says nothing,
+    /// or the connection has no session.
+    pub fn seen_over(&self, id: ConnId) -> Option<&Tree> {
+        let conn = self.conns.get(&id).filter(|c| !c.closed && c.session.is_some())?;
+        let member = &self.members[conn.member];
+        (!member.mute && self.serves(conn.member)).then_some(&member.tree)
+    }
+
     /// What is to be written to a client; it is taken by this.
     pub fn output(&mut self, id: ConnId) -> Vec<u8> {
         let Some(conn) = self.conns.get_mut(&id) else { return Vec::new() };
--- a/crates/testkit/src/coordination/tree.rs
+++ b/crates/testkit/src/coordination/tree.rs
@@ -109,6 +109,11 @@
         self.nodes.keys().map(String::as_str)
     }
 
+    /// The data of a node, if there is one.
+    pub fn data(&self, path: &str) -> Option<&Bytes> {
+        self.nodes.get(path).map(|node| &node.data)
+    }
+
     fn node(&self, path: &str) -> Result<&Node, Code> {
         self.nodes.get(path).ok_or(Code::NoNode)
     }
--- a/crates/testkit/tests/ensemble.rs
+++ b/crates/testkit/tests/ensemble.rs
@@ -21,7 +21,7 @@
 
 /// The same, with all views that it had.
 fn follow_all(world: &mut World, id: u64, view: &mut View, reads: &mut usize, views: &mut Vec<View>) {
-    let told = std::mem::take(&mut world.clients.get_mut(&id).expect("it is there").told);
+    let told = std::mem::take(&mut world.clients.get_mut(&id).expect("it is there").said);
     for event in told {
         match event {
             Event::Established { .. } | Event::Fired(_) => {
@@ -43,8 +43,8 @@
     world.pass(10.0, |_| {});
     world.ask(0, "root", create("/servers", false));
     world.pass(10.0, |_| {});
-    assert!(world.clients[&0].told.iter().any(|e| matches!(e, Event::Answer("root", Ok(_)))));
-    world.clients.get_mut(&0).expect("it is there").told = vec![Event::Established { new: true }];
+    assert!(world.clients[&0].said.iter().any(|e| matches!(e, Event::Answer("root", Ok(_)))));
+    world.clients.get_mut(&0).expect("it is there").said = vec![Event::Established { new: true }];
     world
 }
 
@@ -77,11 +77,11 @@
     world.ensemble.kill(0);
     world.ensemble.kill(1);
     world.pass(1000.0, |_| {});
-    assert!(world.ensemble.open(2).is_none() && !world.clients[&0].session.is_connected());
+    assert!(world.ensemble.open(2).is_none() && !world.clients[&0].machine.is_connected());
     world.ensemble.restore(1);
     world.pass(5000.0, |_| {});
     assert!(
-        world.clients[&0].session.is_connected() && world.ensemble.newest().paths().any(|p| p == "/servers")
+        world.clients[&0].machine.is_connected() && world.ensemble.newest().paths().any(|p| p == "/servers")
     );
 }
 
--- a/crates/testkit/tests/follow.rs
+++ b/crates/testkit/tests/follow.rs
@@ -118,13 +118,13 @@
     let mut view = View::new();
     world.pass(100.0, |_| {});
     views(&mut world, 0, &mut view);
-    let old = world.followers[0].follower.session().id();
+    let old = world.followers[0].machine.session().id();
     // All members are mute to it for longer than its session lasts; the others' sessions end as well and come again.
     (0..MEMBERS).for_each(|m| world.ensemble.mute(m, true));
     world.pass(10_000.0, |_| {});
     (0..MEMBERS).for_each(|m| world.ensemble.mute(m, false));
     world.pass(10_000.0, |w| (1..5).for_each(|id| register(w, id)));
-    assert_ne!(world.followers[0].follower.session().id(), old);
+    assert_ne!(world.followers[0].machine.session().id(), old);
     views(&mut world, 0, &mut view);
     assert_eq!(names(&view), ["s1", "s2", "s3", "s4"]);
 }
@@ -141,7 +141,7 @@
     let mut view = View::new();
     world.pass(50.0, |_| {});
     assert_eq!((views(&mut world, 0, &mut view).len(), view.len()), (1, 5000));
-    let before = world.followers[0].follower.session().watches();
+    let before = world.followers[0].machine.session().watches();
     assert_eq!(before, 5001);
     world.ask(0, "one", Request::Delete { path: "/servers/m0777".into(), version: -1 });
     world.pass(50.0, |_| {});
@@ -180,7 +180,7 @@
         // This one is made for good: it is there whatever becomes of sessions.
         world.ask(0, "steady", create("/servers/steady", false));
         world.pass(10.0, |_| {});
-        world.clients.get_mut(&0).expect("it is there").told = vec![Event::Suspended];
+        world.clients.get_mut(&0).expect("it is there").said = vec![Event::Suspended];
         world.follow(1000, 30_000.0);
         world.follow(2000, 500.0);
         let mut seen = [(View::new(), Vec::new()), (View::new(), Vec::new())];
