--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -2,11 +2,10 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 
 use glenwood_coordination::guard::HOLD_MOST;
-use toml::{Table, Value};
+use glenwood_fields::{Fields, Value};
 
 use crate::list::Marks;
 
@@ -57,8 +56,7 @@
 }
 
 impl Registrations {
-    fn take(table: Table) -> Result<Self, String> {
-        let mut f = Fields { path: "registrations", table };
+    fn take(mut f: Fields) -> Result<Self, String> {
         let address = |v: &Value| v.as_str().and_then(|text| text.parse().ok());
         let members = |value: Value| value.as_array()?.iter().map(address).collect::<Option<Vec<_>>>();
         let members = |value| members(value).filter(|all| (1..=9).contains(&all.len()));
@@ -70,7 +68,6 @@
             let share = value.as_float().or(value.as_integer().map(|n| n as f64));
             share.filter(|share| *share > 0.0 && *share <= 1.0)
         };
-        let file = |value: Value| value.as_str().filter(|text| !text.is_empty()).map(PathBuf::from);
         let taken = Self {
             members: f
                 .take("members", "a list of 1 to 9 IP addresses and ports", members)?
@@ -78,13 +75,13 @@
             path: f.take("path", "a path such as /servers", path)?.unwrap_or("/servers".into()),
             timeout_ms: f.within("timeout_ms", 100..=60_000, 2000)?,
             look_every_ms: f.within("look_every_ms", 1000..=3_600_000, 60_000)?,
-            alone: f.take("alone", "true or false", |v| v.as_bool())?.unwrap_or(false),
+            alone: f.switch("alone")?,
             guard_hold_ms: f.within("guard_hold_ms", 0..=HOLD_MOST as usize, 0)?,
             guard_share: f.take("guard_share", "a share above 0 and up to 1", share)?.unwrap_or(0.3),
             guard_window_ms: f.within("guard_window_ms", 1..=60_000, 2000)?,
             suspect_ms: f.within("suspect_ms", 0..=600_000, 10_000)?,
             answer_ms: f.within("answer_ms", 1..=60_000, 2000)?,
-            save: f.take("save", "the path of a file", file)?,
+            save: f.text("save", "the path of a file")?.map(PathBuf::from),
         };
         f.end()?;
         Ok(taken)
@@ -105,58 +102,6 @@
     }
 }
 
-/// The entries of a table, each to be taken once; what is left over is unknown.
-struct Fields {
-    path: &'static str,
-    table: Table,
-}
-
-impl Fields {
-    fn name(&self, key: &str) -> String {
-        if self.path.is_empty() {
-            key.to_string()
-        } else {
-            format!("{}.{key}", self.path)
-        }
-    }
-
-    fn take<T>(
-        &mut self,
-        key: &str,
-        want: &str,
-        read: impl Fn(Value) -> Option<T>,
-    ) -> Result<Option<T>, String> {
-        let name = self.name(key);
-        let Some(value) = self.table.remove(key) else { return Ok(None) };
-        let shown = value.to_string();
-        read(value).map(Some).ok_or_else(|| format!("{name}: {want} expected, not {shown}"))
-    }
-
-    fn within(&mut self, key: &str, bounds: RangeInclusive<usize>, default: usize) -> Result<usize, String> {
-        let want = format!("a whole number from {} to {}", bounds.start(), bounds.end());
-        let fits = |value: Value| value.as_integer().and_then(|n| usize::try_from(n).ok());
-        let fits = |value| fits(value).filter(|n| bounds.contains(n));
-        Ok(self.take(key, &want, fits)?.unwrap_or(default))
-    }
-
-    fn table(&mut self, key: &str) -> Result<Option<Table>, String> {
-        self.take(key, "a table", |v| if let Value::Table(t) = v { Some(t) } else { None })
-    }
-
-    fn names(&mut self, key: &str) -> Result<Vec<String>, String> {
-        let text = |v: &Value| v.as_str().filter(|t| !t.is_empty()).map(str::to_string);
-        let names = |value: Value| value.as_array()?.iter().map(text).collect();
-        Ok(self.take(key, "a list of names", names)?.unwrap_or_default())
-    }
-
-    fn end(self) -> Result<(), String> {
-        match self.table.keys().next() {
-            Some(key) => Err(format!("{}: no such field", self.name(key))),
-            None => Ok(()),
-        }
-    }
-}
-
 impl Operator {
     /// Reads the file.
     ///
@@ -173,21 +118,15 @@
     /// # Errors
     /// The field and the reason.
     pub fn parse(text: &str) -> Result<Self, String> {
-        let table: Table = text.parse().map_err(|e: toml::de::Error| {
-            let at = e.span().map_or(0, |span| text[..span.start.min(text.len())].matches('\n').count() + 1);
-            format!("line {at}: {}", e.message())
-        })?;
-        let mut top = Fields { path: "", table };
-        let msgpack = top.table("msgpack")?.unwrap_or_default();
-        let registrations = top.table("registrations")?;
+        let mut top = Fields::parse(text)?;
+        let msgpack = top.table("msgpack")?;
+        let registrations = top.table("registrations")?.map(Registrations::take).transpose()?;
         top.end()?;
-        let registrations = registrations.map(Registrations::take).transpose()?;
-        let mut f = Fields { path: "msgpack", table: msgpack };
+        let Some(mut f) = msgpack else { return Ok(Self { registrations, ..Self::default() }) };
         let default = Self::default();
-        let address = |value: Value| value.as_str().and_then(|text| text.parse().ok());
         let operator = Self {
-            msgpack_listen: f.take("listen", "an IP address and port", address)?,
-            msgpack_shared: f.take("shared", "true or false", |v| v.as_bool())?.unwrap_or(false),
+            msgpack_listen: f.address("listen")?,
+            msgpack_shared: f.switch("shared")?,
             open_calls: f.within("open_calls", 1..=1024, default.open_calls)?,
             calls_per_connection: f.within("calls_per_connection", 1..=256, default.calls_per_connection)?,
             server_kinds: f.names("server_kinds")?,
--- a/crates/testkit/src/coordination/ensemble.rs
+++ b/crates/testkit/src/coordination/ensemble.rs
@@ -320,6 +320,11 @@
         self.conns.get(&id).is_none_or(|c| c.closed)
     }
 
+    /// The member that a connection is to.
+    pub fn member_of(&self, id: ConnId) -> Option<usize> {
+        self.conns.get(&id).map(|c| c.member)
+    }
+
     /// What a client could know over this connection: what its member has applied. `None` where its member says nothing,
     /// or the connection has no session.
     pub fn seen_over(&self, id: ConnId) -> Option<&Tree> {
--- a/crates/testkit/tests/registrations.rs
+++ b/crates/testkit/tests/registrations.rs
@@ -432,6 +432,43 @@
     }
 }
 
+/// The watch on the names has fired, and the connection ends before they are read anew: no watch stands that could be taken
+/// up again, and what has changed is said all the same.
+#[test]
+fn a_watch_that_fired_just_before_the_connection_ended_is_not_lost() {
+    let mut caused = 0;
+    for seed in 0..20 {
+        let mut world = World::new(5);
+        (1..=3).for_each(|id| world.register(id, host(id, 1.0)));
+        world.pass(100.0, |_| {});
+        world.view(seed, None, Box::new(|_| false));
+        let mut list = List::default();
+        list.pass(&mut world, 100.0);
+        let (leader, member) = (world.ensemble.leader(), world.views[0].member(&world.ensemble));
+        let (Some(leader), Some(member)) = (leader, member) else { panic!("all is well") };
+        if leader == member {
+            continue;
+        }
+        world.ensemble.lag(member, 150.0);
+        world.register(4, host(4, 1.0));
+        list.pass(&mut world, 100.0);
+        if !world.registrars[&4].machine.is_registered() {
+            // Its own member is the late one.
+            continue;
+        }
+        // Without a leader the member answers nobody: the names are asked for, and the connection ends first.
+        world.ensemble.kill(leader);
+        let asked = world.views[0].machine.follower().asked().0;
+        list.pass(&mut world, 70.0);
+        assert_eq!((world.views[0].machine.follower().asked().0, list.active()), (asked + 1, 3));
+        world.ensemble.kill(member);
+        list.pass(&mut world, TIMEOUT);
+        assert_eq!(list.health(4), Some(Health::Active), "seed {seed}");
+        caused += 1;
+    }
+    assert!(caused > 3, "{caused} times");
+}
+
 /// Five thousand servers register within a second, and end within another: all are seen, and the names are not read
 /// anew for each.
 #[test]
--- a/crates/testkit/tests/world/mod.rs
+++ b/crates/testkit/tests/world/mod.rs
@@ -77,6 +77,11 @@
         self.conn.into_iter().for_each(|conn| ensemble.close(conn));
     }
 
+    /// The member that it is connected to.
+    pub fn member(&self, ensemble: &Ensemble) -> Option<usize> {
+        ensemble.member_of(self.conn?)
+    }
+
     /// What it could know now of the service.
     pub fn sees<'a>(&self, ensemble: &'a Ensemble) -> Option<&'a Tree> {
         ensemble.seen_over(self.conn.filter(|_| !self.cut)?)
