--- a/crates/fleet/tests/agent.rs
+++ b/crates/fleet/tests/agent.rs
@@ -123,11 +123,11 @@
     }
 
     fn book(&self) -> Book {
-        self.agent.as_ref().map(|a| a.book().clone()).unwrap_or_else(|| self.from_disk().0)
+        self.agent.as_ref().map(|a| a.book().clone()).unwrap_or_else(|| self.replay().0)
     }
 
     /// What the journal says, and how long it is without a torn end.
-    fn from_disk(&self) -> (Book, usize, u64) {
+    fn replay(&self) -> (Book, usize, u64) {
         let read = journal::read(&self.disk, Some(1)).expect("the disk is well");
         let mut book = Book::default();
         for record in &read.records {
@@ -139,12 +139,12 @@
 
     /// How many instances that are to run serve nobody.
     fn out(&self) -> usize {
-        let from_disk;
+        let replayed;
         let book = match &self.agent {
             Some(agent) => agent.book(),
             None => {
-                from_disk = self.from_disk().0;
-                &from_disk
+                replayed = self.replay().0;
+                &replayed
             }
         };
         let wanted = book.instances.iter().filter(|(_, k)| k.run);
@@ -235,7 +235,7 @@
             self.now += 1.0;
             let now = self.now;
             if self.agent.is_none() && now >= self.back_at {
-                let (book, length, number) = self.from_disk();
+                let (book, length, number) = self.replay();
                 self.disk.truncate(length);
                 self.number = number;
                 let mut agent = Agent::new(now, self.rules.clone(), book, now as u64);
@@ -383,7 +383,7 @@
     let old = machine.procs[0].process.clone();
     machine.kill();
     machine.procs.clear();
-    let (book, _, _) = machine.from_disk();
+    let (book, _, _) = machine.replay();
     let mut agent = Agent::new(machine.now, RULES, book, 1);
     let other = Process { born: old.born + 1, ..old.clone() };
     agent.adopt(machine.now, &[]);
@@ -392,7 +392,7 @@
     assert!(outputs.iter().any(|o| matches!(o, Output::Spawn { .. })));
     assert!(!outputs.iter().any(|o| matches!(o, Output::Signal { .. })));
     // With its token copied into another process it is still not that one.
-    let (book, _, _) = machine.from_disk();
+    let (book, _, _) = machine.replay();
     let mut agent = Agent::new(machine.now, RULES, book, 1);
     agent.adopt(machine.now, &[("n0".into(), other)]);
     let outputs: Vec<Output> = std::iter::from_fn(|| agent.poll()).collect();
