A node says of itself what it is and does, on a Unix socket

Need: an agent compares what an instance is with what it should be: release, configuration, stage, answers.

Change: [inspect] socket in the operator's file, off without it; one JSON object for each connection: name, token, digests of the program and of its files, stage, open requests, answers and failures, servers, the age of the list.

--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -14,6 +14,7 @@
 use crate::call::{Call, Reply};
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::inspect::Stage;
 use crate::list::{Host, Place, Servers, Update};
 
 /// How long the node waits for discovery before it serves by the saved list.
@@ -35,6 +36,17 @@
     fn unsubscribe(&self);
 }
 
+/// Final answers so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Served or failed.
+    pub answered: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Refused.
+    pub refused: u64,
+}
+
 /// Where a final answer goes.
 type Waiter = Box<dyn FnOnce(Final<Reply>)>;
 
@@ -59,6 +71,9 @@
     version: Cell<Option<u64>>,
     /// Discovery has answered.
     informed: Cell<bool>,
+    /// When any source of the list was last heard.
+    list_heard: Cell<Option<Instant>>,
+    counts: Cell<Counts>,
     outside: OnceCell<Rc<dyn Outside>>,
     /// Outputs are being moved: what they bring about waits its turn.
     moving: Cell<bool>,
@@ -85,6 +100,8 @@
             merge: config.operator.registrations.as_ref().map(|_| RefCell::default()),
             version: Cell::new(None),
             informed: Cell::new(false),
+            list_heard: Cell::new(None),
+            counts: Cell::default(),
             outside: OnceCell::new(),
             moving: Cell::new(false),
             armed: Cell::new(None),
@@ -145,6 +162,7 @@
             let Some(output) = output else { break };
             match output {
                 Output::Answer { request, answer } => {
+                    self.count(&answer);
                     let waiter = self.waiters.borrow_mut().remove(&request);
                     if let Some(waiter) = waiter {
                         waiter(answer);
@@ -166,6 +184,45 @@
         }
     }
 
+    fn count(&self, answer: &Final<Reply>) {
+        let mut counts = self.counts.get();
+        match answer {
+            Final::Served(_) | Final::Rejected => counts.answered += 1,
+            Final::Failed | Final::Overdue => {
+                counts.answered += 1;
+                counts.failed += 1;
+            }
+            Final::Refused { .. } => counts.refused += 1,
+        }
+        self.counts.set(counts);
+    }
+
+    // ---- Who inspects ----
+
+    /// Final answers so far.
+    pub fn counts(&self) -> Counts {
+        self.counts.get()
+    }
+
+    /// How far the node is.
+    pub fn stage(&self) -> Stage {
+        match (self.stopping.get(), self.ready()) {
+            (Some(_), _) => Stage::Stopping,
+            (None, true) => Stage::Ready,
+            (None, false) => Stage::Starting,
+        }
+    }
+
+    /// How many servers are listed.
+    pub fn listed_servers(&self) -> usize {
+        self.servers.borrow().len()
+    }
+
+    /// How long ago any source of the list was heard; `None` before any was.
+    pub fn list_age(&self) -> Option<Duration> {
+        self.list_heard.get().map(|at| at.elapsed())
+    }
+
     // ---- Fronts ----
 
     /// Takes in a request; `waiter` is given its one final answer, unless [`Hub::client_gone`] comes first.
@@ -265,6 +322,7 @@
 
     /// The watch stands, with no news.
     pub fn discovery_alive(&self) {
+        self.list_heard.set(Some(Instant::now()));
         if !self.informed.replace(true) {
             self.tell(|core, now| core.list_changed(now, Vec::new()));
         }
@@ -272,6 +330,7 @@
 
     /// Discovery has brought a list, or changes.
     pub fn listed(&self, update: Update) {
+        self.list_heard.set(Some(Instant::now()));
         self.informed.set(true);
         self.take_list(Source::Discovery, update, false);
     }
@@ -282,6 +341,7 @@
     pub fn registered(&self, whole: bool, hosts: Vec<Host>, saved: bool) {
         if !saved {
             self.informed.set(true);
+            self.list_heard.set(Some(Instant::now()));
         }
         self.take_list(Source::Registrations, Update { version: 0, whole, hosts }, saved);
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod front;
 pub mod headers;
 pub mod hub;
+pub mod inspect;
 pub mod list;
 pub mod log;
 pub mod operator;
@@ -54,7 +55,7 @@
         Ok(runtime) => runtime,
         Err(error) => return fail(&format!("runtime: {error}")),
     };
-    match LocalSet::new().block_on(&runtime, runtime::serve(config)) {
+    match LocalSet::new().block_on(&runtime, runtime::serve(config, arguments.operator)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(words) => fail(&words),
     }
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -65,6 +65,11 @@
         Self { marks, known: HashMap::new() }
     }
 
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
     /// Are there none?
     pub fn is_empty(&self) -> bool {
         self.known.is_empty()
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -26,6 +26,8 @@
     pub server_hosts: Vec<String>,
     /// Where servers register, if they do.
     pub registrations: Option<Registrations>,
+    /// The Unix socket at which the node says what it is and does.
+    pub inspect: Option<PathBuf>,
 }
 
 /// How the list follows registrations.
@@ -98,6 +100,7 @@
             server_kinds: Vec::new(),
             server_hosts: Vec::new(),
             registrations: None,
+            inspect: None,
         }
     }
 }
@@ -121,8 +124,16 @@
         let mut top = Fields::parse(text)?;
         let msgpack = top.table("msgpack")?;
         let registrations = top.table("registrations")?.map(Registrations::take).transpose()?;
+        let inspect = match top.table("inspect")? {
+            Some(mut f) => {
+                let socket = f.text("socket", "the path of a socket")?;
+                f.end()?;
+                socket.map(PathBuf::from)
+            }
+            None => None,
+        };
         top.end()?;
-        let Some(mut f) = msgpack else { return Ok(Self { registrations, ..Self::default() }) };
+        let Some(mut f) = msgpack else { return Ok(Self { registrations, inspect, ..Self::default() }) };
         let default = Self::default();
         let operator = Self {
             msgpack_listen: f.address("listen")?,
@@ -132,6 +143,7 @@
             server_kinds: f.names("server_kinds")?,
             server_hosts: f.names("server_hosts")?,
             registrations,
+            inspect,
         };
         f.end()?;
         Ok(operator)
@@ -207,6 +219,8 @@
             ),
             ("[msgpack]\nserver_kinds = 'm2'", "msgpack.server_kinds: a list of names expected, not \"m2\""),
             ("[msgpack]\nserver_hosts = ['']", "msgpack.server_hosts: a list of names expected, not [\"\"]"),
+            ("[inspect]\nsocket = 1", "inspect.socket: the path of a socket expected, not 1"),
+            ("[inspect]\npath = 'x'", "inspect.path: no such field"),
             ("[registrations]", "registrations.members: needed where there is a table registrations"),
             (
                 "[registrations]\nmembers = []",
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -17,6 +18,7 @@
 use crate::discovery;
 use crate::front::{Fronts, Speaks};
 use crate::hub::{Hub, Outside};
+use crate::inspect;
 use crate::list::Protocol;
 use crate::log;
 use crate::registrations;
@@ -107,7 +109,7 @@
 ///
 /// # Errors
 /// One line, where it can't start.
-pub async fn serve(mut config: Config) -> Result<(), String> {
+pub async fn serve(mut config: Config, operator: Option<PathBuf>) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signal: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signal: {e}"))?;
     // Without a handler SIGHUP ends the process, and with it all that it has taken.
@@ -117,6 +119,8 @@
     if let Some(at) = config.operator.msgpack_listen {
         listeners.push((listen(at)?, Speaks::Msgpack));
     }
+    let inspect = config.operator.inspect.clone();
+    let inspecting = inspect.as_deref().map(inspect::listen).transpose()?;
     let known = config.known.take();
     let descriptors = Descriptors::new(config.servers_most());
     let hub = Hub::new(config).map_err(|e| format!("settings: {e}"))?;
@@ -140,6 +144,9 @@
         registrations::take_saved(&hub, &told);
         spawn_local(registrations::follow(hub.clone(), told));
     }
+    if let Some(listener) = inspecting {
+        spawn_local(inspect::answer(hub.clone(), listener, operator));
+    }
     let fronts = Fronts::new(&hub, descriptors);
     spawn_local(hub.clone().run_timer());
     spawn_local(sweep(links.clone(), fronts.clone()));
@@ -164,6 +171,7 @@
         _ = interrupt.recv() => {}
     }
     stop(&hub, &fronts, &accepting).await;
+    inspect.as_deref().into_iter().for_each(inspect::remove);
     Ok(())
 }
 
--- a/crates/testkit/src/node.rs
+++ b/crates/testkit/src/node.rs
@@ -130,6 +130,17 @@
         });
     }
 
+    /// What it says of itself at its socket; `None` where nobody answers there.
+    pub fn inspect(socket: &Path) -> Option<Value> {
+        crate::wait("an answer", async {
+            use tokio::io::AsyncReadExt;
+            let mut stream = tokio::net::UnixStream::connect(socket).await.ok()?;
+            let mut text = String::new();
+            stream.read_to_string(&mut text).await.ok()?;
+            serde_json::from_str(&text).ok()
+        })
+    }
+
     /// Its log so far.
     pub fn log(&self) -> Vec<String> {
         self.log.lock().unwrap_or_else(PoisonError::into_inner).clone()
