The agent and glenctl fleet: instances started, adopted, rolled and undone, with real ones

Need: four nodes are hard to keep in step by hand; nothing managed more than one process.

Processes are known by number, start and token. glenctl fleet status|apply|start|stop|roll|abort|pause|resume|logs|history, with exit codes. A change gives each instance a target of its own, as files differ.

--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -368,7 +368,7 @@
         }
     }
 
-    /// Begins a change of these instances, in this order.
+    /// Begins a change of these instances, in this order, each to its target.
     ///
     /// # Errors
     /// Where the epoch does not count, another change is under way, or there is no such instance.
@@ -377,12 +377,13 @@
         now: Millis,
         epoch: u64,
         names: &[String],
-        to: Target,
+        to: BTreeMap<String, Target>,
     ) -> Result<u64, CommandRefused> {
         self.may(now, epoch)?;
         let mut from = BTreeMap::new();
         for name in names {
             let kept = self.book.instances.get(name);
+            let kept = kept.filter(|_| to.contains_key(name));
             let kept = kept.ok_or_else(|| CommandRefused::Unknown(name.clone()))?;
             from.insert(name.clone(), kept.target.clone());
         }
@@ -508,7 +509,7 @@
             return false;
         };
         let back = change.undone_for.is_some();
-        let wanted = if back { change.from.get(&name) } else { Some(&change.to) };
+        let wanted = if back { change.from.get(&name) } else { change.to.get(&name) };
         let wanted = wanted.cloned().unwrap_or_default();
         let kept = &self.book.instances[&name];
         if kept.target != wanted {
--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -45,8 +45,8 @@
     pub id: u64,
     /// The instances, in order.
     pub names: Vec<String>,
-    /// What they are to run.
-    pub to: Target,
+    /// What each is to run.
+    pub to: BTreeMap<String, Target>,
     /// What each ran before.
     pub from: BTreeMap<String, Target>,
     /// Who began it, and what for.
@@ -134,6 +134,13 @@
     },
     /// It waits, or goes on.
     Paused(bool),
+    /// Numbers that are used up, in a journal that was made anew.
+    Used {
+        /// Tokens, up to this one.
+        token: u64,
+        /// Changes, up to this one.
+        change: u64,
+    },
     /// It has ended.
     Finished {
         /// How.
@@ -233,10 +240,41 @@
                     (change.undone_for, change.paused) = (Some(reason.clone()), false);
                 }
             }
+            Fact::Used { token, change } => {
+                (self.token, self.last_change) = (self.token.max(*token), self.last_change.max(*change));
+            }
             Fact::Paused(paused) => self.change.iter_mut().for_each(|c| c.paused = *paused),
             Fact::Finished { outcome, reason } => {
                 (self.change, self.outcome) = (None, Some((*outcome, reason.clone())));
             }
         }
     }
+
+    /// The fewest facts that make this book: a long journal is made anew from them.
+    pub fn facts(&self) -> Vec<Fact> {
+        let mut facts = vec![Fact::Used { token: self.token, change: self.last_change }];
+        if self.epoch > 0 {
+            facts.push(Fact::Lease { epoch: self.epoch, holder: self.holder.clone() });
+        }
+        for (name, kept) in &self.instances {
+            let name = || name.clone();
+            facts.push(Fact::Target { name: name(), target: kept.target.clone() });
+            facts.push(Fact::Wanted { name: name(), run: kept.run });
+            if let Some((process, target)) = &kept.process {
+                let (token, target) = (process.token, target.clone());
+                facts.push(Fact::Starting { name: name(), token, target });
+                facts.push(Fact::Started { name: name(), process: process.clone() });
+                facts.extend(kept.stopping.then(|| Fact::Stopping { name: name(), token }));
+            }
+            if let Some((token, target)) = &kept.starting {
+                facts.push(Fact::Starting { name: name(), token: *token, target: target.clone() });
+            }
+            facts.extend(kept.gave_up.then(|| Fact::GaveUp { name: name() }));
+        }
+        facts.extend(self.change.clone().map(Fact::Began));
+        if let Some((outcome, reason)) = &self.outcome {
+            facts.push(Fact::Finished { outcome: *outcome, reason: reason.clone() });
+        }
+        facts
+    }
 }
--- a/crates/fleet/src/desired.rs
+++ b/crates/fleet/src/desired.rs
@@ -11,6 +11,8 @@
     pub path: String,
     /// The digest of that file: SHA-256 in hex digits. A file with another is not started.
     pub sha256: String,
+    /// Arguments before its own.
+    pub arguments: Vec<String>,
 }
 
 /// One instance.
@@ -131,6 +133,7 @@
             let release = Release {
                 path: f.need("path", "a path that begins with /", path)?,
                 sha256: f.need("sha256", "64 hex digits in lower case", digest)?,
+                arguments: f.names("arguments")?,
             };
             f.end()?;
             releases.insert(key, release);
--- a/crates/fleet/tests/agent.rs
+++ b/crates/fleet/tests/agent.rs
@@ -1,5 +1,7 @@
 //! An agent over virtual processes: it is killed at every point of a change in turn, and made anew from its journal.
 
+use std::collections::BTreeMap;
+
 use glenwood_fleet::agent::{is_worse, Agent, CommandRefused, Output, Signal, Status};
 use glenwood_fleet::book::{Book, Fact, Outcome, Process, Target};
 use glenwood_fleet::desired::Rules;
@@ -28,6 +30,10 @@
     Target { release: release.into(), config: "c1".into() }
 }
 
+fn all_to(names: &[String], release: &str) -> BTreeMap<String, Target> {
+    names.iter().map(|name| (name.clone(), target(release))).collect()
+}
+
 fn holder(who: &str) -> Holder {
     Holder { who: who.into(), why: "a test".into(), since_unix_ms: 0.0 }
 }
@@ -159,6 +165,7 @@
     }
 
     fn kill(&mut self) {
+        self.agent.iter().for_each(|agent| made_anew(agent.book()));
         self.agent = None;
         self.kills += 1;
         self.back_at = self.now + DEAD;
@@ -271,7 +278,7 @@
         let names = self.names();
         let now = self.now;
         let agent = self.agent.as_mut().expect("it lives");
-        agent.begin(now, 1, &names, target(release)).expect("nothing is under way");
+        agent.begin(now, 1, &names, all_to(&names, release)).expect("nothing is under way");
     }
 
     /// Until the change is over, for a minute at the most.
@@ -287,6 +294,13 @@
     }
 }
 
+/// A journal that is made anew from the book makes the same book.
+fn made_anew(book: &Book) {
+    let mut again = Book::default();
+    book.facts().iter().for_each(|fact| again.add(fact));
+    assert_eq!(&again, book);
+}
+
 #[test]
 fn a_change_goes_from_one_to_the_next() {
     let mut machine = Machine::serving(4, "r1", RULES);
@@ -325,6 +339,7 @@
                 machine.pass(1000.0);
                 assert_eq!(machine.releases(), vec![runs.to_string(); 3], "{what}");
                 assert_eq!((machine.worst, machine.out()), (1, 0), "{what}");
+                made_anew(&machine.book());
             }
         }
     }
@@ -406,12 +421,15 @@
     let names = machine.names();
     let agent = machine.agent.as_mut().expect("it lives");
     let stale = CommandRefused::Lease(Refused::Stale { epoch: 1 });
-    assert_eq!(agent.begin(now, 0, &names, target("r2")), Err(stale.clone()));
+    assert_eq!(agent.begin(now, 0, &names, all_to(&names, "r2")), Err(stale.clone()));
     assert_eq!(agent.want(now, 2, "n0", false, &target("r1")), Err(stale));
     assert_eq!(agent.abort(now, 1), Err(CommandRefused::Idle));
-    assert_eq!(agent.begin(now, 1, &["n9".into()], target("r2")), Err(CommandRefused::Unknown("n9".into())));
-    let id = agent.begin(now, 1, &names, target("r2")).expect("idle");
-    assert_eq!(agent.begin(now, 1, &names, target("r3")), Err(CommandRefused::Busy { change: id }));
+    assert_eq!(
+        agent.begin(now, 1, &["n9".into()], all_to(&["n9".into()], "r2")),
+        Err(CommandRefused::Unknown("n9".into()))
+    );
+    let id = agent.begin(now, 1, &names, all_to(&names, "r2")).expect("idle");
+    assert_eq!(agent.begin(now, 1, &names, all_to(&names, "r3")), Err(CommandRefused::Busy { change: id }));
     assert_eq!(agent.want(now, 1, "n0", false, &target("r1")), Err(CommandRefused::Busy { change: id }));
     // The agent is killed and comes back: the epoch of before still counts, and an older one does not.
     machine.pass(10.0);
@@ -449,7 +467,7 @@
     machine.worst = 0;
     let names: Vec<String> = (0..4).map(|n| format!("n{n}")).collect();
     let now = machine.now;
-    machine.agent.as_mut().expect("it lives").begin(now, 1, &names, target("r2")).expect("idle");
+    machine.agent.as_mut().expect("it lives").begin(now, 1, &names, all_to(&names, "r2")).expect("idle");
     machine.pass(3000.0);
     assert_eq!((machine.releases()[..4].to_vec(), machine.worst), (vec!["r1".to_string(); 4], 1));
 }
--- /dev/null
+++ b/crates/glenctl/src/fleet.rs
@@ -0,0 +1,325 @@
+//! Instances, by their agents.
+//!
+//! Exit codes: 0 all is as it should be; 1 it was done, but something is not as it should be (drift, a change that was
+//! undone); 2 bad arguments; 3 refused; 4 an agent can't be reached.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use clap::{Args, Subcommand};
+use glenwood_agent::talk::{ask, Ask, Reply, Status};
+use serde_json::json;
+
+/// For how long the lease is asked for; it is held on to by asking again under the same epoch.
+const LEASE_MS: f64 = 600_000.0;
+/// How often a change is looked at.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Which agents, and what.
+#[derive(Debug, Args)]
+pub struct Arguments {
+    /// The sockets of the agents, with commas between
+    #[arg(long, env = "GLENWOOD_AGENTS", required = true, value_delimiter = ',', value_name = "SOCKET")]
+    agents: Vec<PathBuf>,
+    /// Who this is, for the lease and the trail
+    #[arg(long, env = "USER", default_value = "somebody")]
+    who: String,
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Debug, Subcommand)]
+enum What {
+    /// Shows how all instances are; the exit code is 1 where one is not what it should be
+    Status {
+        /// One JSON object instead of a table
+        #[arg(long)]
+        json: bool,
+    },
+    /// Reads the file of what is desired again, and starts what is new in it
+    Apply,
+    /// Starts instances
+    Start {
+        /// Which
+        #[arg(required = true)]
+        names: Vec<String>,
+    },
+    /// Stops instances
+    Stop {
+        /// Which
+        #[arg(required = true)]
+        names: Vec<String>,
+        /// Also protected ones; the reason goes into the trail
+        #[arg(long = "override", value_name = "REASON")]
+        force: Option<String>,
+    },
+    /// Changes instances, one after another, to a release and to their files as they are now
+    Roll {
+        /// Which; all of them where none is named
+        names: Vec<String>,
+        /// To which release
+        #[arg(long, value_name = "RELEASE")]
+        to: String,
+        /// Also protected ones; the reason goes into the trail
+        #[arg(long = "override", value_name = "REASON")]
+        force: Option<String>,
+        /// Returns when it has begun
+        #[arg(long)]
+        no_wait: bool,
+    },
+    /// Undoes the change that is under way
+    Abort,
+    /// Lets the change wait before its next instance
+    Pause,
+    /// Lets the change go on
+    Resume,
+    /// The last lines of an instance's log
+    Logs {
+        /// Which
+        name: String,
+        /// How many
+        #[arg(long, default_value_t = 50)]
+        lines: usize,
+    },
+    /// Who did what
+    History,
+}
+
+/// Why something was not done.
+enum Fault {
+    Unreached(String),
+    Refused(String),
+}
+
+impl From<Fault> for ExitCode {
+    fn from(fault: Fault) -> Self {
+        match fault {
+            Fault::Refused(words) => {
+                eprintln!("glenctl: {words}");
+                Self::from(3)
+            }
+            Fault::Unreached(words) => {
+                eprintln!("glenctl: {words}");
+                Self::from(4)
+            }
+        }
+    }
+}
+
+fn say(agent: &Path, what: &Ask) -> Result<Reply, Fault> {
+    match ask(agent, what) {
+        Err(words) => Err(Fault::Unreached(words)),
+        Ok(Reply::Refused(words)) => Err(Fault::Refused(words)),
+        Ok(reply) => Ok(reply),
+    }
+}
+
+fn status(agent: &Path) -> Result<Status, Fault> {
+    match say(agent, &Ask::Status)? {
+        Reply::Status(status) => Ok(*status),
+        other => Err(Fault::Unreached(format!("{}: {other:?} is no status", agent.display()))),
+    }
+}
+
+/// The lease of an agent for one change, given back at its end.
+struct Held<'a> {
+    agent: &'a Path,
+    epoch: u64,
+}
+
+impl<'a> Held<'a> {
+    fn take(agent: &'a Path, who: &str, why: &str) -> Result<Self, Fault> {
+        let lease = Ask::Lease { who: who.into(), why: why.into(), epoch: None, span_ms: LEASE_MS };
+        match say(agent, &lease)? {
+            Reply::Granted(epoch) => Ok(Self { agent, epoch }),
+            other => Err(Fault::Unreached(format!("{}: {other:?} is no lease", agent.display()))),
+        }
+    }
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        // Where this is lost the lease ends by its time.
+        let _ = ask(self.agent, &Ask::GiveBack { epoch: self.epoch });
+    }
+}
+
+/// Does one thing under the lease of each agent, one after another; stops at the first that refuses.
+fn each(arguments: &Arguments, why: &str, what: impl Fn(u64, &Status) -> Vec<Ask>) -> Result<(), Fault> {
+    for agent in &arguments.agents {
+        let held = Held::take(agent, &arguments.who, why)?;
+        for ask in what(held.epoch, &status(agent)?) {
+            if let Reply::Done(words) = say(agent, &ask)? {
+                println!("{}: {words}", agent.display());
+            }
+        }
+    }
+    Ok(())
+}
+
+fn show(arguments: &Arguments, as_json: bool) -> Result<bool, Fault> {
+    let mut all = Vec::new();
+    for agent in &arguments.agents {
+        all.push((agent, status(agent)?));
+    }
+    let well = all.iter().all(|(_, s)| s.instances.values().all(|i| i.drift.is_empty()));
+    if as_json {
+        let agents: Vec<_> =
+            all.iter().map(|(agent, s)| json!({"agent": agent.display().to_string(), "status": s})).collect();
+        println!("{}", json!({"agents": agents, "well": well}));
+        return Ok(well);
+    }
+    println!(
+        "{:12} {:8} {:9} {:>8} {:>6} {:>9} {:>7} {:>8}  drift",
+        "instance", "release", "stage", "pid", "open", "answered", "failed", "list ms"
+    );
+    for (agent, s) in &all {
+        println!("{}  epoch {}", agent.display(), s.epoch);
+        for (name, i) in &s.instances {
+            let stage = match (&i.stage, i.run, i.gave_up) {
+                (_, _, true) => "gave up",
+                (Some(stage), _, _) => stage,
+                (None, true, _) => "silent",
+                (None, false, _) => "stopped",
+            };
+            println!(
+                "{name:12} {:8} {stage:9} {:>8} {:>6} {:>9} {:>7} {:>8}  {}",
+                i.release,
+                i.pid.map_or("-".into(), |pid| pid.to_string()),
+                i.open,
+                i.answered,
+                i.failed,
+                i.list_age_ms.map_or("-".into(), |age| format!("{age:.0}")),
+                i.drift.join("; ")
+            );
+        }
+        if let Some((words, done, count)) = &s.change {
+            println!("{words}: {done} of {count}");
+        }
+        if let Some((outcome, why)) = &s.outcome {
+            println!("last change: {outcome}, {why}");
+        }
+        if let Some((who, why)) = &s.lease {
+            println!("lease: {who}, {why}");
+        }
+    }
+    Ok(well)
+}
+
+/// Follows a change to its end; true where it was done.
+fn follow(agent: &Path) -> Result<bool, Fault> {
+    let (mut said, mut at) = (String::new(), Instant::now());
+    loop {
+        let status = status(agent)?;
+        match (&status.change, &status.outcome) {
+            (Some((words, done, count)), _) => {
+                let line = format!("{}: {words}: {done} of {count}", agent.display());
+                if line != said || at.elapsed() > Duration::from_secs(5) {
+                    eprintln!("{line}");
+                    (said, at) = (line, Instant::now());
+                }
+            }
+            (None, Some((outcome, why))) => {
+                println!("{}: {outcome}: {why}", agent.display());
+                return Ok(outcome == "Done");
+            }
+            (None, None) => return Ok(false),
+        }
+        std::thread::sleep(LOOK);
+    }
+}
+
+fn roll(
+    arguments: &Arguments,
+    names: &[String],
+    to: &str,
+    force: Option<&String>,
+    wait: bool,
+) -> Result<bool, Fault> {
+    let why = format!("roll to {to}");
+    for agent in &arguments.agents {
+        let held = Held::take(agent, &arguments.who, &why)?;
+        let roll = Ask::Roll {
+            epoch: held.epoch,
+            names: names.to_vec(),
+            release: to.to_string(),
+            force: force.cloned(),
+        };
+        if let Reply::Done(words) = say(agent, &roll)? {
+            println!("{}: {words}", agent.display());
+        }
+        // The next machine only when this one is through and well.
+        if wait && !follow(agent)? {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
+/// Does it.
+pub fn run(arguments: &Arguments) -> ExitCode {
+    let done = match &arguments.what {
+        What::Status { json } => show(arguments, *json),
+        What::Apply => each(arguments, "apply", |epoch, _| vec![Ask::Apply { epoch }]).map(|()| true),
+        What::Start { names } => want(arguments, names, true, None),
+        What::Stop { names, force } => want(arguments, names, false, force.as_ref()),
+        What::Roll { names, to, force, no_wait } => roll(arguments, names, to, force.as_ref(), !no_wait),
+        What::Abort => during(arguments, |epoch| Ask::Abort { epoch }),
+        What::Pause => during(arguments, |epoch| Ask::Pause { epoch, paused: true }),
+        What::Resume => during(arguments, |epoch| Ask::Pause { epoch, paused: false }),
+        What::Logs { name, lines } => {
+            lines_of(arguments, &Ask::Logs { name: name.clone(), lines: *lines }).map(|()| true)
+        }
+        What::History => lines_of(arguments, &Ask::History).map(|()| true),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(fault) => fault.into(),
+    }
+}
+
+/// Starts or stops instances, each at the agent that has it.
+fn want(arguments: &Arguments, names: &[String], run: bool, force: Option<&String>) -> Result<bool, Fault> {
+    let mut known = Vec::new();
+    for agent in &arguments.agents {
+        known.extend(status(agent)?.instances.into_keys());
+    }
+    if let Some(name) = names.iter().find(|n| !known.contains(n)) {
+        return Err(Fault::Refused(format!("there is no instance {name:?}")));
+    }
+    let asks = |epoch: u64, status: &Status| {
+        let here = names.iter().filter(|n| status.instances.contains_key(*n));
+        here.map(|name| Ask::Want { epoch, name: name.clone(), run, force: force.cloned() }).collect()
+    };
+    each(arguments, if run { "start" } else { "stop" }, asks).map(|()| true)
+}
+
+/// A word on a change that is under way: under the epoch of who began it, as that one holds the lease meanwhile.
+fn during(arguments: &Arguments, what: impl Fn(u64) -> Ask) -> Result<bool, Fault> {
+    for agent in &arguments.agents {
+        let now = status(agent)?;
+        if now.change.is_none() {
+            continue;
+        }
+        let held = match &now.lease {
+            Some(_) => None,
+            None => Some(Held::take(agent, &arguments.who, "a word on a change")?),
+        };
+        let epoch = held.as_ref().map_or(now.epoch, |held| held.epoch);
+        if let Reply::Done(words) = say(agent, &what(epoch))? {
+            println!("{}: {words}", agent.display());
+        }
+    }
+    Ok(true)
+}
+
+fn lines_of(arguments: &Arguments, what: &Ask) -> Result<(), Fault> {
+    for agent in &arguments.agents {
+        if let Reply::Lines(lines) = say(agent, what)? {
+            lines.iter().for_each(|line| println!("{line}"));
+        }
+    }
+    Ok(())
+}
--- a/crates/glenctl/src/main.rs
+++ b/crates/glenctl/src/main.rs
@@ -2,6 +2,7 @@
 #![warn(missing_docs)]
 
 mod demo;
+mod fleet;
 mod register;
 mod stand_in;
 
@@ -22,6 +23,8 @@
 enum Command {
     /// Runs two nodes between stand-ins of everything else, with a crash, a drain and a restart, and counts the rules
     Demo(demo::Arguments),
+    /// Shows or changes the instances of one machine or many, by their agents
+    Fleet(fleet::Arguments),
     /// Registers a server with the coordination service for as long as it runs, and drains it before it ends
     Register(register::Arguments),
     /// Runs one stand-in until it is interrupted, and prints its address
@@ -30,6 +33,9 @@
         #[command(subcommand)]
         what: stand_in::What,
     },
+    /// Runs an agent in this process, as the program glenwood-agent does
+    #[command(hide = true)]
+    Agent(glenwood_agent::Arguments),
     /// Runs one node in this process, as the program glenwood does
     #[command(hide = true)]
     Node {
@@ -42,6 +48,8 @@
 fn main() -> ExitCode {
     match Arguments::parse().command {
         Command::Demo(arguments) => demo::run(&arguments),
+        Command::Fleet(arguments) => fleet::run(&arguments),
+        Command::Agent(arguments) => glenwood_agent::run(&arguments),
         Command::Register(arguments) => register::run(arguments),
         Command::StandIn { what } => stand_in::run(&what),
         Command::Node { operator } => glenwood_node::run(glenwood_node::Arguments { operator }),
