--- a/crates/fleet/tests/desired.rs
+++ b/crates/fleet/tests/desired.rs
@@ -24,6 +24,12 @@
     assert!(Desired::parse("").is_ok_and(|empty| empty.instances.is_empty()));
 }
 
+#[test]
+fn the_example_is_good() {
+    let example = Desired::parse(include_str!("../../../deploy/fleet.toml")).expect("good");
+    assert_eq!((example.instances.len(), example.protected("n1", 0, 8 * 60).is_some()), (2, true));
+}
+
 #[test]
 fn protection_goes_by_group_day_and_minute() {
     let desired = Desired::parse(&good()).expect("good");
