glenctl fleet: one lease over many agents, plan, retire, watch

Need: a change of many machines needs one lock; operators want to see what a change would do, and to forget instances.

Measured: three real agents, one out of reach: two changed, the third said; a lease that another has at two of three keeps the third from being changed.

--- a/crates/agent/src/service.rs
+++ b/crates/agent/src/service.rs
@@ -387,6 +387,42 @@
                 let id = self.agent.begin(now, epoch, &names, targets).map_err(refused)?;
                 Ok(Reply::Done(format!("the change {id} has begun")))
             }
+            Ask::Plan { names, release } => {
+                if !self.desired.releases.contains_key(&release) {
+                    return Err(format!("there is no release {release:?}"));
+                }
+                let order: Vec<String> = self.desired.instances.iter().map(|i| i.name.clone()).collect();
+                let meant = order.iter().filter(|n| names.is_empty() || names.contains(n));
+                let mut lines = Vec::new();
+                for name in meant {
+                    let protected = self.protect(std::slice::from_ref(name), None).is_err();
+                    let kept =
+                        self.agent.book().instances.get(name).map(|k| (k.target.release.clone(), k.run));
+                    let (from, run) = kept.ok_or_else(|| format!("{name} is not applied yet"))?;
+                    let what = if run {
+                        "stop, start, wait until ready, compare"
+                    } else {
+                        "not running: noted only"
+                    };
+                    let mark = if protected { "; protected now" } else { "" };
+                    lines.push(format!("{}. {name}: {from} -> {release}: {what}{mark}", lines.len() + 1));
+                }
+                let rules = &self.desired.rules;
+                lines.push(format!(
+                    "at most {} out, {} ms between two",
+                    rules.max_unavailable, rules.pause_ms
+                ));
+                Ok(Reply::Lines(lines))
+            }
+            Ask::Retire { epoch, name } => {
+                self.agent.lease_mut().check(now, epoch).map_err(lease)?;
+                self.note(who, &format!("retire {name}"), epoch)?;
+                self.agent.retire(now, epoch, &name).map_err(|e| match e {
+                    CommandRefused::Unknown(name) => format!("there is no instance {name:?} that is stopped"),
+                    other => refused(other),
+                })?;
+                Ok(Reply::Done(format!("{name} is forgotten")))
+            }
             Ask::Abort { epoch } => {
                 self.agent.lease_mut().check(now, epoch).map_err(lease)?;
                 self.note(who, "abort", epoch)?;
--- a/crates/agent/src/talk.rs
+++ b/crates/agent/src/talk.rs
@@ -60,6 +60,20 @@
         /// Also where some are protected, and why.
         force: Option<String>,
     },
+    /// What a change would do; those of these names that this agent has, or all.
+    Plan {
+        /// Which.
+        names: Vec<String>,
+        /// To which release.
+        release: String,
+    },
+    /// An instance that is stopped is forgotten.
+    Retire {
+        /// The epoch.
+        epoch: u64,
+        /// Which.
+        name: String,
+    },
     /// The change is undone.
     Abort {
         /// The epoch.
--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -73,7 +73,7 @@
     },
     /// None is under way.
     Idle,
-    /// There is no such instance.
+    /// There is no such instance, or none in such a state.
     Unknown(String),
 }
 
@@ -360,6 +360,22 @@
         Ok(())
     }
 
+    /// Forgets an instance that has no process.
+    ///
+    /// # Errors
+    /// Where the epoch does not count, a change is under way, or there is no such instance that is stopped.
+    pub fn retire(&mut self, now: Millis, epoch: u64, name: &str) -> Result<(), CommandRefused> {
+        self.may(now, epoch)?;
+        let kept = self.book.instances.get(name);
+        let idle = kept.is_some_and(|k| !k.run && k.process.is_none() && k.starting.is_none());
+        if !idle {
+            return Err(CommandRefused::Unknown(name.to_string()));
+        }
+        self.write(Fact::Retired { name: name.to_string() });
+        self.live.remove(name);
+        Ok(())
+    }
+
     fn may(&self, now: Millis, epoch: u64) -> Result<(), CommandRefused> {
         self.lease.check(now, epoch).map_err(CommandRefused::Lease)?;
         match &self.book.change {
--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -76,6 +76,11 @@
         /// What.
         target: Target,
     },
+    /// An instance is forgotten.
+    Retired {
+        /// Which.
+        name: String,
+    },
     /// A process is about to be started.
     Starting {
         /// For which instance.
@@ -200,6 +205,7 @@
                 // What could not run before may run now.
                 kept.gave_up = false;
             }
+            Fact::Retired { name } => drop(self.instances.remove(name)),
             Fact::Starting { name, token, target } => {
                 self.token = self.token.max(*token);
                 let kept = self.instances.entry(name.clone()).or_default();
--- a/crates/glenctl/src/fleet.rs
+++ b/crates/glenctl/src/fleet.rs
@@ -9,6 +9,7 @@
 
 use clap::{Args, Subcommand};
 use glenwood_agent::talk::{ask, Ask, Reply, Status};
+use glenwood_fleet::lease::{Bid, Refused, Standing};
 use serde_json::json;
 
 /// For how long the lease is asked for; it is held on to by asking again under the same epoch.
@@ -36,6 +37,9 @@
         /// One JSON object instead of a table
         #[arg(long)]
         json: bool,
+        /// Again every second, until it is interrupted
+        #[arg(long)]
+        watch: bool,
     },
     /// Reads the file of what is desired again, and starts what is new in it
     Apply,
@@ -68,6 +72,20 @@
         #[arg(long)]
         no_wait: bool,
     },
+    /// Says what `roll` would do, in order, and does nothing
+    Plan {
+        /// Which; all of them where none is named
+        names: Vec<String>,
+        /// To which release
+        #[arg(long, value_name = "RELEASE")]
+        to: String,
+    },
+    /// Forgets instances that are stopped
+    Retire {
+        /// Which
+        #[arg(required = true)]
+        names: Vec<String>,
+    },
     /// Undoes the change that is under way
     Abort,
     /// Lets the change wait before its next instance
@@ -92,6 +110,13 @@
     Refused(String),
 }
 
+impl Fault {
+    fn words(&self) -> &str {
+        let (Self::Unreached(words) | Self::Refused(words)) = self;
+        words
+    }
+}
+
 impl From<Fault> for ExitCode {
     fn from(fault: Fault) -> Self {
         match fault {
@@ -122,40 +147,97 @@
     }
 }
 
-/// The lease of an agent for one change, given back at its end.
+/// The lease for one change, held by more than half of the agents, and given back at its end.
 struct Held<'a> {
-    agent: &'a Path,
+    granted: Vec<&'a Path>,
     epoch: u64,
 }
 
+/// How often a bid is made anew where another one came in between.
+const BIDS: usize = 5;
+
 impl<'a> Held<'a> {
-    fn take(agent: &'a Path, who: &str, why: &str) -> Result<Self, Fault> {
-        let lease = Ask::Lease { who: who.into(), why: why.into(), epoch: None, span_ms: LEASE_MS };
-        match say(agent, &lease)? {
-            Reply::Granted(epoch) => Ok(Self { agent, epoch }),
-            other => Err(Fault::Unreached(format!("{}: {other:?} is no lease", agent.display()))),
+    fn take(arguments: &'a Arguments, why: &str) -> Result<Self, Fault> {
+        let agents: Vec<&Path> = arguments.agents.iter().map(PathBuf::as_path).collect();
+        // One that can't be reached has no epoch to name, and counts as a refusal.
+        let known: Vec<u64> = agents.iter().filter_map(|a| Some(status(a).ok()?.epoch)).collect();
+        let mut bid = Bid::new(agents.len(), &known);
+        let mut last = Fault::Refused("no agent granted the lease".into());
+        for _ in 0..BIDS {
+            let mut held = Self { granted: Vec::new(), epoch: bid.epoch() };
+            let mut in_between = false;
+            for (n, agent) in agents.iter().enumerate() {
+                let lease = Ask::Lease {
+                    who: arguments.who.clone(),
+                    why: why.into(),
+                    epoch: Some(bid.epoch()),
+                    span_ms: LEASE_MS,
+                };
+                match say(agent, &lease) {
+                    Ok(_) => {
+                        bid.answer(n, Ok(()));
+                        held.granted.push(agent);
+                    }
+                    Err(fault) => {
+                        let epoch = status(agent).map_or(0, |s| s.epoch);
+                        in_between |= epoch >= bid.epoch();
+                        bid.answer(n, Err(Some(&Refused::Behind { epoch })));
+                        eprintln!("glenctl: {}: {}", agent.display(), fault.words());
+                        last = fault;
+                    }
+                }
+            }
+            if bid.standing() == Standing::Won {
+                return Ok(held);
+            }
+            // What was granted goes back with `held`.
+            if !in_between {
+                break;
+            }
+            bid = bid.again();
         }
+        Err(last)
+    }
+
+    /// May something be asked of this agent?
+    fn at(&self, agent: &Path) -> Result<u64, Fault> {
+        let granted = self.granted.contains(&agent);
+        granted
+            .then_some(self.epoch)
+            .ok_or_else(|| Fault::Unreached(format!("{}: did not grant the lease", agent.display())))
     }
 }
 
 impl Drop for Held<'_> {
     fn drop(&mut self) {
-        // Where this is lost the lease ends by its time.
-        let _ = ask(self.agent, &Ask::GiveBack { epoch: self.epoch });
+        for agent in &self.granted {
+            // Where this is lost the lease ends by its time.
+            let _ = ask(agent, &Ask::GiveBack { epoch: self.epoch });
+        }
     }
 }
 
-/// Does one thing under the lease of each agent, one after another; stops at the first that refuses.
+/// Does one thing at each agent under one lease; goes on where one fails, and says which did.
 fn each(arguments: &Arguments, why: &str, what: impl Fn(u64, &Status) -> Vec<Ask>) -> Result<(), Fault> {
+    let held = Held::take(arguments, why)?;
+    let mut failed = None;
     for agent in &arguments.agents {
-        let held = Held::take(agent, &arguments.who, why)?;
-        for ask in what(held.epoch, &status(agent)?) {
-            if let Reply::Done(words) = say(agent, &ask)? {
-                println!("{}: {words}", agent.display());
+        let done = || {
+            let epoch = held.at(agent)?;
+            for ask in what(epoch, &status(agent)?) {
+                if let Reply::Done(words) = say(agent, &ask)? {
+                    println!("{}: {words}", agent.display());
+                }
+            }
+            Ok(())
+        };
+        if let Err(fault) = done() {
+            if let Some(Fault::Refused(words) | Fault::Unreached(words)) = failed.replace(fault) {
+                eprintln!("glenctl: {words}");
             }
         }
     }
-    Ok(())
+    failed.map_or(Ok(()), Err)
 }
 
 fn show(arguments: &Arguments, as_json: bool) -> Result<bool, Fault> {
@@ -238,14 +320,17 @@
     wait: bool,
 ) -> Result<bool, Fault> {
     let why = format!("roll to {to}");
+    let all = names.is_empty();
+    known(arguments, names)?;
+    let held = Held::take(arguments, &why)?;
     for agent in &arguments.agents {
-        let held = Held::take(agent, &arguments.who, &why)?;
-        let roll = Ask::Roll {
-            epoch: held.epoch,
-            names: names.to_vec(),
-            release: to.to_string(),
-            force: force.cloned(),
-        };
+        let here = status(agent)?.instances;
+        let names: Vec<String> = names.iter().filter(|n| here.contains_key(*n)).cloned().collect();
+        if names.is_empty() && !all {
+            continue;
+        }
+        let roll =
+            Ask::Roll { epoch: held.at(agent)?, names, release: to.to_string(), force: force.cloned() };
         if let Reply::Done(words) = say(agent, &roll)? {
             println!("{}: {words}", agent.display());
         }
@@ -260,7 +345,24 @@
 /// Does it.
 pub fn run(arguments: &Arguments) -> ExitCode {
     let done = match &arguments.what {
-        What::Status { json } => show(arguments, *json),
+        What::Status { json, watch: true } => loop {
+            if let Err(fault) = show(arguments, *json) {
+                // An agent that is restarted is back in a moment.
+                eprintln!("glenctl: {}", fault.words());
+            }
+            std::thread::sleep(Duration::from_secs(1));
+        },
+        What::Status { json, watch: false } => show(arguments, *json),
+        What::Plan { names, to } => known(arguments, names)
+            .and_then(|()| lines_of(arguments, &Ask::Plan { names: names.clone(), release: to.clone() }))
+            .map(|()| true),
+        What::Retire { names } => known(arguments, names).and_then(|()| {
+            each(arguments, "retire", |epoch, status| {
+                let here = names.iter().filter(|n| status.instances.contains_key(*n));
+                here.map(|name| Ask::Retire { epoch, name: name.clone() }).collect()
+            })
+            .map(|()| true)
+        }),
         What::Apply => each(arguments, "apply", |epoch, _| vec![Ask::Apply { epoch }]).map(|()| true),
         What::Start { names } => want(arguments, names, true, None),
         What::Stop { names, force } => want(arguments, names, false, force.as_ref()),
@@ -280,15 +382,20 @@
     }
 }
 
+/// Is each of these at one of the agents?
+fn known(arguments: &Arguments, names: &[String]) -> Result<(), Fault> {
+    // What one that can't be reached has is not known; whatever is asked of it then fails by itself.
+    let reached = arguments.agents.iter().filter_map(|agent| status(agent).ok());
+    let all: Vec<String> = reached.flat_map(|status| status.instances.into_keys()).collect();
+    match names.iter().find(|n| !all.contains(n)) {
+        Some(name) => Err(Fault::Refused(format!("there is no instance {name:?}"))),
+        None => Ok(()),
+    }
+}
+
 /// Starts or stops instances, each at the agent that has it.
 fn want(arguments: &Arguments, names: &[String], run: bool, force: Option<&String>) -> Result<bool, Fault> {
-    let mut known = Vec::new();
-    for agent in &arguments.agents {
-        known.extend(status(agent)?.instances.into_keys());
-    }
-    if let Some(name) = names.iter().find(|n| !known.contains(n)) {
-        return Err(Fault::Refused(format!("there is no instance {name:?}")));
-    }
+    known(arguments, names)?;
     let asks = |epoch: u64, status: &Status| {
         let here = names.iter().filter(|n| status.instances.contains_key(*n));
         here.map(|name| Ask::Want { epoch, name: name.clone(), run, force: force.cloned() }).collect()
@@ -303,9 +410,10 @@
         if now.change.is_none() {
             continue;
         }
+        // The change is its beginner's, who holds the lease meanwhile: a word on it is said under that epoch.
         let held = match &now.lease {
             Some(_) => None,
-            None => Some(Held::take(agent, &arguments.who, "a word on a change")?),
+            None => Some(Held::take(arguments, "a word on a change")?),
         };
         let epoch = held.as_ref().map_or(now.epoch, |held| held.epoch);
         if let Reply::Done(words) = say(agent, &what(epoch))? {
--- a/crates/glenctl/tests/fleet.rs
+++ b/crates/glenctl/tests/fleet.rs
@@ -381,6 +381,18 @@
     assert_eq!(unknown.status.code(), Some(3));
     until("it is stopped", || machine.of("n1")["pid"].is_null());
     assert_eq!(machine.fleet(&["status"]).status.code(), Some(0), "stopped as wanted is no drift");
+    // What a change would do is said, and not done; one that runs is not forgotten, one that is stopped is.
+    let plan = machine.fleet(&["plan", "--to", "r2"]);
+    let plan = String::from_utf8_lossy(&plan.stdout).into_owned();
+    assert!(plan.starts_with("1. n0: r1 -> r2: stop, start, wait until ready, compare\n2. n1: "), "{plan}");
+    assert!(plan.contains("noted only; protected now"), "{plan}");
+    assert_eq!(machine.fleet(&["retire", "n0"]).status.code(), Some(3));
+    assert_eq!(machine.fleet(&["retire", "n1"]).status.code(), Some(0));
+    assert!(machine.of("n1").is_null());
+    assert!(machine.fleet(&["apply"]).status.success(), "the file has it still");
+    machine.until_well();
+    assert!(machine.fleet(&["stop", "n1", "--override", "again"]).status.success());
+    until("it is stopped", || machine.of("n1")["pid"].is_null());
     // Another operator holds the lease.
     let lease = glenwood_agent::talk::Ask::Lease {
         who: "ben".into(),
@@ -397,7 +409,17 @@
     let trail = std::fs::read_to_string(machine.folder.join("run").join("audit")).expect("a trail");
     let (_, entries) = Trail::read(&trail).expect("whole");
     let what: Vec<&str> = entries.iter().map(|e| e.what.as_str()).collect();
-    assert_eq!(what, ["apply", "stop n0", "start n0", "stop n1 the disk fails"]);
+    let all = [
+        "apply",
+        "stop n0",
+        "start n0",
+        "stop n1 the disk fails",
+        "retire n0",
+        "retire n1",
+        "apply",
+        "stop n1 again",
+    ];
+    assert_eq!(what, all);
     // A second agent in the same folder ends at once.
     let second = Command::new(GLENCTL)
         .args(["agent", "--fleet"])
@@ -411,3 +433,44 @@
     assert_eq!(nobody.expect("it runs").status.code(), Some(4));
     assert!(Path::new(&machine.folder).exists());
 }
+
+/// Three machines, one agent out of reach: the lease is the other two's, they are changed, and the third is said. A lease
+/// that somebody has at two of three is nobody else's.
+#[test]
+fn many_agents_are_changed_under_one_lease_and_one_out_of_reach_is_said() {
+    let mut machines: Vec<Machine> = (0..3).map(|n| Machine::new(&format!("many{n}"), 1, "")).collect();
+    let agents: Vec<String> = machines.iter().map(|m| m.socket().display().to_string()).collect();
+    let agents = agents.join(",");
+    let fleet = |arguments: &[&str]| {
+        let mut command = Command::new(GLENCTL);
+        command
+            .args(["fleet", "--who", "ada", "--agents", &agents])
+            .args(arguments)
+            .output()
+            .expect("it runs")
+    };
+    machines[2].kill_agent();
+    let output = fleet(&["roll", "--to", "r2"]);
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(4), "{said}");
+    assert!(said.contains("many2"), "{said}");
+    machines[2].start_agent();
+    let releases: Vec<Value> = machines.iter().map(|m| m.of("n0")["release"].clone()).collect();
+    assert_eq!(releases, ["r2", "r2", "r1"]);
+    // Ben has two of three.
+    for machine in &machines[..2] {
+        let epoch = machine.status().expect("it answers")["epoch"].as_u64().map(|e| e + 1);
+        let (who, why) = ("ben".to_string(), "a look".to_string());
+        let lease = glenwood_agent::talk::Ask::Lease { who, why, epoch, span_ms: 60_000.0 };
+        let granted = glenwood_agent::talk::ask(&machine.socket(), &lease);
+        assert!(matches!(granted, Ok(glenwood_agent::talk::Reply::Granted(_))), "{granted:?}");
+    }
+    let output = fleet(&["roll", "--to", "r2"]);
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(output.status.code() == Some(3) && said.contains("held by ben"), "{said}");
+    assert_eq!(machines[2].of("n0")["release"], "r1", "the third alone is not enough");
+    assert!(machines[2].status().expect("it answers")["lease"].is_null(), "what it granted was given back");
+    // Alone it is a majority of one.
+    assert!(machines[2].fleet(&["roll", "--to", "r2"]).status.success());
+    assert_eq!(machines[2].of("n0")["release"], "r2");
+}
