--- a/crates/glenctl/src/demo.rs
+++ b/crates/glenctl/src/demo.rs
@@ -28,6 +28,9 @@
     /// Ends with one JSON object instead of a table
     #[arg(long)]
     json: bool,
+    /// A roll of eight instances under load instead, and one that is undone
+    #[arg(long, conflicts_with_all = ["seconds", "json"])]
+    fleet: bool,
 }
 
 const CLASSES: [(&str, Effect); 3] =
@@ -133,6 +136,9 @@
 
 /// Runs it; the exit code is 0 only if the rules held.
 pub fn run(arguments: &Arguments) -> ExitCode {
+    if arguments.fleet {
+        return crate::demo_fleet::run();
+    }
     let Ok(me) = std::env::current_exe() else {
         eprintln!("glenctl: this program's own file can't be found");
         return ExitCode::FAILURE;
--- a/crates/glenctl/src/main.rs
+++ b/crates/glenctl/src/main.rs
@@ -2,6 +2,7 @@
 #![warn(missing_docs)]
 
 mod demo;
+mod demo_fleet;
 mod fleet;
 mod register;
 mod stand_in;
--- /dev/null
+++ b/crates/testkit/src/fleet.rs
@@ -0,0 +1,348 @@
+//! Real instances under an agent, driven by `glenctl` as a process, and clients that ask them all the while.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::client::{Answer, Ask, Client, Effect};
+use crate::discovery::{active, Discovery};
+use crate::node::{config, settings};
+use crate::script::{Ledger, Script, Step};
+use crate::server::{Identity, Protocol, StandIn};
+use crate::{runtime, until, wait};
+
+/// One machine: a folder, an agent, and what its instances need.
+pub struct Machine {
+    /// Its folder; the agent's own is `run` in it.
+    pub folder: PathBuf,
+    /// Where its instances listen.
+    pub addresses: Vec<SocketAddr>,
+    /// What its servers carried out.
+    pub ledger: Ledger,
+    glenctl: PathBuf,
+    agent: Option<Child>,
+    _servers: Vec<StandIn>,
+    _discovery: Discovery,
+}
+
+impl Machine {
+    /// A machine with so many instances of the release `r1`, all of them ready. `glenctl` is that program's file, and
+    /// `sha256` gives the digest of a file; `more` goes into the file of what is desired, behind its table `fleet`.
+    ///
+    /// # Panics
+    /// Where it does not come up.
+    pub fn new(
+        glenctl: &Path,
+        sha256: impl Fn(&Path) -> String,
+        name: &str,
+        instances: usize,
+        more: &str,
+    ) -> Self {
+        let folder = std::env::temp_dir().join(format!("glenwood-fleet-{}-{name}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let folder = folder.canonicalize().expect("it is there");
+        let ledger = Ledger::new(Duration::from_secs(8));
+        let script: Script = Arc::new(|_| Step::ServeAfter(Duration::from_millis(3)));
+        let servers: Vec<StandIn> = (0..4)
+            .map(|n| {
+                let protocol = Protocol::BOTH[n % 2];
+                let identity = Identity { name: format!("s{n}"), cell: 0, protocol };
+                StandIn::start(identity, script.clone(), ledger.clone())
+            })
+            .collect();
+        let discovery = Discovery::start(&servers.iter().map(active).collect::<Vec<_>>());
+        // Instances keep their addresses over restarts, so these are chosen here; all are held until all are known.
+        let held: Vec<TcpListener> =
+            (0..instances).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
+        let addresses: Vec<SocketAddr> = held.iter().map(|l| l.local_addr().expect("bound")).collect();
+        drop(held);
+        let (program, shell) = (sha256(glenctl), sha256(Path::new("/bin/sh")));
+        let mut text = format!(
+            "[fleet]\npause_ms = 100\nready_within_ms = 10000\nstop_within_ms = 8000\ncanary_requests = 20\n\
+             canary_ms = 400\n{more}\n"
+        );
+        let path = glenctl.display();
+        for release in ["r1", "r2"] {
+            text += &format!("[releases.{release}]\npath = '{path}'\n");
+            text += &format!("sha256 = '{program}'\narguments = ['node']\n");
+        }
+        // One that starts and never answers.
+        text += &format!(
+            "[releases.hangs]\npath = '/bin/sh'\nsha256 = '{shell}'\narguments = ['-c', 'sleep 600']\n"
+        );
+        text += &format!("[releases.other]\npath = '/bin/sh'\nsha256 = '{program}'\n");
+        std::fs::write(folder.join("own.toml"), "[msgpack]\nshared = true\n").expect("a file");
+        for (n, address) in addresses.iter().enumerate() {
+            let mut settings = settings(400.0);
+            (settings["Me"], settings["PeersTotal"]) = (n.into(), instances.into());
+            for class in settings["Classes"].as_array_mut().into_iter().flatten() {
+                // A node that ends takes its time by the longest of these.
+                class["Deadline"] = 2000.0.into();
+            }
+            let mut config = config(&format!("n{n}"), discovery.address, settings);
+            config["listen"] = address.to_string().into();
+            let file = folder.join(format!("n{n}.json"));
+            std::fs::write(&file, config.to_string()).expect("a file");
+            text += &format!(
+                "[[instance]]\nname = 'n{n}'\nrelease = 'r1'\nconfig = '{}'\noperator = '{}'\n",
+                file.display(),
+                folder.join("own.toml").display()
+            );
+        }
+        std::fs::write(folder.join("fleet.toml"), text).expect("a file");
+        let mut machine = Self {
+            folder,
+            addresses,
+            ledger,
+            glenctl: glenctl.to_path_buf(),
+            agent: None,
+            _servers: servers,
+            _discovery: discovery,
+        };
+        machine.start_agent();
+        assert!(machine.fleet(&["apply"]).status.success());
+        machine.until_well();
+        machine
+    }
+
+    /// Its agent's socket.
+    pub fn socket(&self) -> PathBuf {
+        self.folder.join("run").join("agent.sock")
+    }
+
+    /// Starts its agent, and waits until that answers.
+    ///
+    /// # Panics
+    /// Where it does not.
+    pub fn start_agent(&mut self) {
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("agent.log"));
+        let child = Command::new(&self.glenctl)
+            .args(["agent", "--fleet"])
+            .arg(self.folder.join("fleet.toml"))
+            .arg("--folder")
+            .arg(self.folder.join("run"))
+            .stdin(Stdio::null())
+            .stderr(log.expect("a file"))
+            .spawn();
+        self.agent = Some(child.expect("it starts"));
+        until("the agent answers", || self.status().is_some());
+    }
+
+    /// Ends the agent with no warning.
+    ///
+    /// # Panics
+    /// Where it can't be ended.
+    pub fn kill_agent(&mut self) {
+        if let Some(mut agent) = self.agent.take() {
+            agent.kill().expect("it runs");
+            agent.wait().expect("it has ended");
+        }
+    }
+
+    /// `glenctl fleet` with these arguments, for this machine's agent.
+    pub fn command(&self, arguments: &[&str]) -> Command {
+        let mut command = Command::new(&self.glenctl);
+        command.args(["fleet", "--who", "ada", "--agents"]).arg(self.socket()).args(arguments);
+        command
+    }
+
+    /// The same, run to its end.
+    ///
+    /// # Panics
+    /// Where it can't be run.
+    pub fn fleet(&self, arguments: &[&str]) -> Output {
+        self.command(arguments).output().expect("it runs")
+    }
+
+    /// What the agent says of all; `None` where it does not answer.
+    ///
+    /// # Panics
+    /// Where `glenctl` can't be run.
+    pub fn status(&self) -> Option<Value> {
+        let output = self.fleet(&["status", "--json"]);
+        let all: Value = serde_json::from_slice(&output.stdout).ok()?;
+        Some(all["agents"][0]["status"].clone())
+    }
+
+    /// Waits until all is as it should be.
+    ///
+    /// # Panics
+    /// Where it does not come to that.
+    pub fn until_well(&self) {
+        until("all is as it should be", || {
+            let status = self.status();
+            status.is_some_and(|s| {
+                let all = s["instances"].as_object().expect("instances");
+                all.len() == self.addresses.len() && all.values().all(|i| i["drift"] == serde_json::json!([]))
+            })
+        });
+    }
+
+    /// What the agent says of one instance.
+    ///
+    /// # Panics
+    /// Where the agent does not answer.
+    pub fn of(&self, name: &str) -> Value {
+        self.status().expect("it answers")["instances"][name].clone()
+    }
+
+    /// The processes of all instances.
+    ///
+    /// # Panics
+    /// Where the agent does not answer.
+    pub fn pids(&self) -> Vec<u64> {
+        let status = self.status().expect("it answers");
+        let all = status["instances"].as_object().expect("instances").clone();
+        all.values().filter_map(|i| i["pid"].as_u64()).collect()
+    }
+
+    /// Its agent's log.
+    pub fn agent_log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("agent.log")).unwrap_or_default()
+    }
+}
+
+impl Drop for Machine {
+    fn drop(&mut self) {
+        let pids = if self.agent.is_some() { self.pids() } else { Vec::new() };
+        self.kill_agent();
+        for pid in pids {
+            let _ = Command::new("kill").arg("-KILL").arg(pid.to_string()).status();
+        }
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// Fronts and clients: each goes to a node that says that it is ready, and leaves one that does not any more, as fronts do
+/// that look at `/ready`.
+pub struct Load {
+    stop: Arc<AtomicBool>,
+    clients: Vec<tokio::task::JoinHandle<Counts>>,
+}
+
+/// What became of the requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Requests.
+    pub asked: usize,
+    /// Served.
+    pub served: usize,
+    /// Refused.
+    pub refused: usize,
+    /// Their connection ended first.
+    pub lost: usize,
+    /// Anything else.
+    pub other: usize,
+    /// No node was ready when one was needed.
+    pub nowhere: usize,
+}
+
+/// Does the node at this address say that it is ready?
+pub async fn is_ready(address: SocketAddr) -> bool {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let ask = async {
+        let mut stream = tokio::net::TcpStream::connect(address).await?;
+        stream.write_all(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").await?;
+        let mut head = [0; 12];
+        stream.read_exact(&mut head).await?;
+        Ok::<bool, std::io::Error>(head.ends_with(b"200"))
+    };
+    matches!(tokio::time::timeout(Duration::from_secs(1), ask).await, Ok(Ok(true)))
+}
+
+impl Load {
+    /// Begins: twelve clients, of both protocols and all classes.
+    pub fn start(addresses: &[SocketAddr]) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let ready: Arc<Vec<AtomicBool>> = Arc::new(addresses.iter().map(|_| AtomicBool::new(true)).collect());
+        for (n, address) in addresses.iter().copied().enumerate() {
+            let (ready, stop) = (ready.clone(), stop.clone());
+            runtime().spawn(async move {
+                while !stop.load(Ordering::Relaxed) {
+                    ready[n].store(is_ready(address).await, Ordering::Relaxed);
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            });
+        }
+        let turn = Arc::new(AtomicUsize::new(0));
+        let clients = (0..12)
+            .map(|client| {
+                let (stop, ready, addresses) = (stop.clone(), ready.clone(), addresses.to_vec());
+                runtime().spawn(drive(client, addresses, ready, stop, turn.clone()))
+            })
+            .collect();
+        Self { stop, clients }
+    }
+
+    /// Ends it.
+    ///
+    /// # Panics
+    /// Where a client does not end.
+    pub fn end(self) -> Counts {
+        self.stop.store(true, Ordering::Relaxed);
+        self.clients.into_iter().fold(Counts::default(), |sum, client| {
+            let c = wait("a client ends", client).expect("it ended well");
+            Counts {
+                asked: sum.asked + c.asked,
+                served: sum.served + c.served,
+                refused: sum.refused + c.refused,
+                lost: sum.lost + c.lost,
+                other: sum.other + c.other,
+                nowhere: sum.nowhere + c.nowhere,
+            }
+        })
+    }
+}
+
+async fn drive(
+    client: usize,
+    addresses: Vec<SocketAddr>,
+    ready: Arc<Vec<AtomicBool>>,
+    stop: Arc<AtomicBool>,
+    turn: Arc<AtomicUsize>,
+) -> Counts {
+    let classes = [("look", Effect::Safe), ("pay", Effect::Keyed), ("slip", Effect::Unsafe)];
+    let mut counts = Counts::default();
+    let mut open: Option<(usize, Client)> = None;
+    while !stop.load(Ordering::Relaxed) {
+        open = open.filter(|(node, _)| ready[*node].load(Ordering::Relaxed));
+        if open.is_none() {
+            let from = turn.fetch_add(1, Ordering::Relaxed);
+            let all = (0..addresses.len()).map(|n| (from + n) % addresses.len());
+            let Some(node) = all.into_iter().find(|n| ready[*n].load(Ordering::Relaxed)) else {
+                counts.nowhere += 1;
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            };
+            let conn = Client::connect(Protocol::BOTH[client % 2], addresses[node]).await;
+            open = conn.ok().map(|conn| (node, conn));
+        }
+        let Some((_, conn)) = &mut open else {
+            // Its listener is closed by now: the next look at it tells.
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            continue;
+        };
+        let (class, effect) = classes[(client + counts.asked) % classes.len()];
+        let ask = Ask::new(class, effect, &format!("c{client}-{}", counts.asked), 2000);
+        counts.asked += 1;
+        match conn.ask(&ask).await {
+            Answer::Served(_) => counts.served += 1,
+            Answer::Refused(_) => counts.refused += 1,
+            Answer::Lost => {
+                counts.lost += 1;
+                open = None;
+            }
+            _ => counts.other += 1,
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    counts
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod coordination;
 pub mod discovery;
+pub mod fleet;
 pub mod http;
 pub mod node;
 pub mod peer;
