An operator who vanishes loses the lease in seconds; a full disk under a real agent

Need: after an agent's restart the lease of whoever had it stood for ten minutes, and kept that operator out too.

Measured: an agent on a disk that is full at 4 KiB ends with a line, its instances go on and are found again; the test failed before this change, as the lease was held.

--- a/crates/agent/src/service.rs
+++ b/crates/agent/src/service.rs
@@ -325,8 +325,9 @@
             Ask::Status => Ok(Reply::Status(Box::new(self.status(now)))),
             Ask::Lease { who: name, why, epoch, span_ms } => {
                 let epoch = epoch.unwrap_or(self.agent.book().epoch + 1);
-                let holder = Holder { who: format!("{name} ({who})"), why, since_unix_ms: unix_ms() };
-                self.agent.lease(now, epoch, holder, span_ms).map_err(lease)?;
+                let holder =
+                    Holder { who: format!("{name} ({who})"), why, since_unix_ms: unix_ms(), span_ms };
+                self.agent.lease(now, epoch, holder).map_err(lease)?;
                 Ok(Reply::Granted(epoch))
             }
             Ask::GiveBack { epoch } => {
--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -316,9 +316,13 @@
     ///
     /// # Errors
     /// Says who has it.
-    pub fn lease(&mut self, now: Millis, epoch: u64, holder: Holder, span: Millis) -> Result<(), Refused> {
-        self.lease.grant(now, epoch, holder.clone(), span)?;
-        self.write(Fact::Lease { epoch, holder: Some(holder) });
+    pub fn lease(&mut self, now: Millis, epoch: u64, holder: Holder) -> Result<(), Refused> {
+        self.lease.grant(now, epoch, holder)?;
+        let holder = self.lease.holder(now).cloned();
+        if (self.book.epoch, &self.book.holder) != (epoch, &holder) {
+            // One that only holds on to it is not written each time.
+            self.write(Fact::Lease { epoch, holder });
+        }
         Ok(())
     }
 
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -27,6 +27,8 @@
     pub why: String,
     /// Since when, Unix time in milliseconds: for people to read.
     pub since_unix_ms: Millis,
+    /// For how long it was granted, in milliseconds.
+    pub span_ms: Millis,
 }
 
 /// Why a lease is not granted, or a step not taken.
@@ -82,9 +84,13 @@
 
 impl Lease {
     /// As it is after a restart: the highest epoch, and who may still hold it. Nobody knows how much of the lease is over
-    /// by now, so it counts from the start once more, as long as a lease can be.
+    /// by now, so it counts from the start once more, for as long as it was granted.
     pub fn restored(now: Millis, epoch: u64, holder: Option<Holder>) -> Self {
-        Self { epoch, held: holder.map(|holder| (holder, now + LONGEST)) }
+        let held = holder.map(|holder| {
+            let until = now + holder.span_ms.clamp(0.0, LONGEST);
+            (holder, until)
+        });
+        Self { epoch, held }
     }
 
     /// The highest epoch that was granted.
@@ -97,22 +103,25 @@
         self.held.as_ref().filter(|(_, until)| now < *until).map(|(holder, _)| holder)
     }
 
-    /// Grants an epoch for a span of milliseconds, [`LONGEST`] at the most. Whoever calls this writes the epoch to disk
+    /// Grants an epoch for as long as the holder asks for, [`LONGEST`] at the most. Whoever calls this writes the epoch to disk
     /// before the answer goes out.
     ///
     /// # Errors
     /// Says who has it, or which epoch to go beyond.
-    pub fn grant(&mut self, now: Millis, epoch: u64, holder: Holder, span: Millis) -> Result<(), Refused> {
+    pub fn grant(&mut self, now: Millis, epoch: u64, mut holder: Holder) -> Result<(), Refused> {
         if let Some((held, until)) = self.held.as_ref().filter(|(_, until)| now < *until) {
-            // Its own holder may ask again: the answer may have been lost.
-            if epoch != self.epoch || *held != holder {
+            // Its own holder may ask again: the answer may have been lost, or it holds on to it.
+            if epoch != self.epoch || (&held.who, &held.why) != (&holder.who, &holder.why) {
                 return Err(Refused::Held { holder: held.clone(), left: until - now, epoch: self.epoch });
             }
+            holder.since_unix_ms = held.since_unix_ms;
         } else if epoch <= self.epoch {
             return Err(Refused::Behind { epoch: self.epoch });
         }
         self.epoch = epoch;
-        self.held = Some((holder, now + span.clamp(0.0, LONGEST)));
+        holder.span_ms = holder.span_ms.clamp(0.0, LONGEST);
+        let until = now + holder.span_ms;
+        self.held = Some((holder, until));
         Ok(())
     }
 
--- a/crates/fleet/tests/agent.rs
+++ b/crates/fleet/tests/agent.rs
@@ -35,7 +35,7 @@
 }
 
 fn holder(who: &str) -> Holder {
-    Holder { who: who.into(), why: "a test".into(), since_unix_ms: 0.0 }
+    Holder { who: who.into(), why: "a test".into(), since_unix_ms: 0.0, span_ms: 600_000.0 }
 }
 
 #[derive(Clone, Debug)]
@@ -114,7 +114,7 @@
     fn serving(count: usize, release: &str, rules: Rules) -> Self {
         let mut machine = Self::new(rules);
         let agent = machine.agent.as_mut().expect("it lives");
-        agent.lease(0.0, 1, holder("ada"), 600_000.0).expect("free");
+        agent.lease(0.0, 1, holder("ada")).expect("free");
         for n in 0..count {
             agent.want(0.0, 1, &format!("n{n}"), true, &target(release)).expect("nothing is under way");
         }
@@ -378,7 +378,7 @@
     assert_eq!(machine.out(), 0, "it is back");
     let mut machine = Machine::new(RULES);
     let agent = machine.agent.as_mut().expect("it lives");
-    agent.lease(0.0, 1, holder("ada"), 600_000.0).expect("free");
+    agent.lease(0.0, 1, holder("ada")).expect("free");
     agent.want(0.0, 1, "n0", true, &target("crash")).expect("nothing is under way");
     machine.pass(5000.0);
     assert_eq!(machine.last_pid - 100, RULES.restarts_most as u32 + 1);
@@ -438,7 +438,7 @@
     let now = machine.now;
     let agent = machine.agent.as_mut().expect("it is back");
     assert_eq!(agent.abort(now, 0), Err(CommandRefused::Lease(Refused::Stale { epoch: 1 })));
-    assert!(matches!(agent.lease(now, 2, holder("ben"), 1000.0), Err(Refused::Held { .. })));
+    assert!(matches!(agent.lease(now, 2, holder("ben")), Err(Refused::Held { .. })));
     assert_eq!(agent.abort(now, 1), Ok(()));
     assert_eq!(machine.finish(), Some((Outcome::RolledBack, "an operator's word".into())));
     assert_eq!(machine.releases(), vec!["r1".to_string(); 3]);
--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -4,50 +4,50 @@
 use proptest::collection::vec;
 use proptest::prelude::*;
 
-fn holder(who: &str) -> Holder {
-    Holder { who: who.into(), why: "roll to r2".into(), since_unix_ms: 1.79e12 }
+fn holder(who: &str, span_ms: f64) -> Holder {
+    Holder { who: who.into(), why: "roll to r2".into(), since_unix_ms: 1.79e12, span_ms }
 }
 
 #[test]
 fn a_second_operator_is_told_who_has_it_and_for_how_long() {
     let mut lease = Lease::default();
-    assert_eq!(lease.grant(0.0, 1, holder("ada"), 10_000.0), Ok(()));
-    let refused = lease.grant(4000.0, 2, holder("ben"), 10_000.0).expect_err("ada has it");
-    assert_eq!(refused, Refused::Held { holder: holder("ada"), left: 6000.0, epoch: 1 });
+    assert_eq!(lease.grant(0.0, 1, holder("ada", 10_000.0)), Ok(()));
+    let refused = lease.grant(4000.0, 2, holder("ben", 10_000.0)).expect_err("ada has it");
+    assert_eq!(refused, Refused::Held { holder: holder("ada", 10_000.0), left: 6000.0, epoch: 1 });
     assert_eq!(refused.to_string(), "held by ada (roll to r2), for 6 s more at the most");
     // Its own holder may ask again, as the answer may have been lost.
-    assert_eq!(lease.grant(4000.0, 1, holder("ada"), 10_000.0), Ok(()));
+    assert_eq!(lease.grant(4000.0, 1, holder("ada", 10_000.0)), Ok(()));
     assert_eq!(lease.check(13_999.0, 1), Ok(()));
 }
 
 #[test]
 fn an_operator_who_was_paused_beyond_the_lease_is_refused() {
     let mut lease = Lease::default();
-    lease.grant(0.0, 1, holder("ada"), 1000.0).expect("free");
+    lease.grant(0.0, 1, holder("ada", 1000.0)).expect("free");
     assert_eq!(
         lease.check(1000.0, 1),
         Err(Refused::Stale { epoch: 1 }),
         "its time is over, though nobody else came"
     );
-    lease.grant(1000.0, 2, holder("ben"), 1000.0).expect("free again");
+    lease.grant(1000.0, 2, holder("ben", 1000.0)).expect("free again");
     assert_eq!(lease.check(1500.0, 1), Err(Refused::Stale { epoch: 2 }));
     assert_eq!(lease.renew(1500.0, 1, 1000.0), Err(Refused::Stale { epoch: 2 }));
     assert_eq!(lease.release(1500.0, 1), Err(Refused::Stale { epoch: 2 }));
     assert_eq!(lease.release(1500.0, 2), Ok(()));
     // An epoch is used once, also where its lease was given back.
-    assert_eq!(lease.grant(1500.0, 2, holder("ada"), 1000.0), Err(Refused::Behind { epoch: 2 }));
-    assert_eq!(lease.grant(1500.0, 3, holder("ada"), 1000.0), Ok(()));
+    assert_eq!(lease.grant(1500.0, 2, holder("ada", 1000.0)), Err(Refused::Behind { epoch: 2 }));
+    assert_eq!(lease.grant(1500.0, 3, holder("ada", 1000.0)), Ok(()));
 }
 
 #[test]
 fn a_restart_keeps_the_epoch_and_the_holder() {
-    let mut lease = Lease::restored(50.0, 7, Some(holder("ada")));
+    let mut lease = Lease::restored(50.0, 7, Some(holder("ada", LONGEST)));
     assert_eq!(lease.check(60.0, 6), Err(Refused::Stale { epoch: 7 }));
     assert_eq!(lease.check(60.0, 7), Ok(()), "its holder goes on");
-    assert!(matches!(lease.grant(60.0, 8, holder("ben"), 1.0), Err(Refused::Held { .. })));
-    assert_eq!(lease.grant(50.0 + LONGEST, 8, holder("ben"), 1.0), Ok(()));
+    assert!(matches!(lease.grant(60.0, 8, holder("ben", 1.0)), Err(Refused::Held { .. })));
+    assert_eq!(lease.grant(50.0 + LONGEST, 8, holder("ben", 1.0)), Ok(()));
     assert_eq!(
-        Lease::restored(0.0, 7, None).grant(0.0, 7, holder("ben"), 1.0),
+        Lease::restored(0.0, 7, None).grant(0.0, 7, holder("ben", 1.0)),
         Err(Refused::Behind { epoch: 7 })
     );
 }
@@ -92,14 +92,14 @@
         let mut highest = [0; 5];
         for (who, agent, what, pause) in steps {
             now += f64::from(pause);
-            let name = holder(&format!("o{who}"));
+            let name = holder(&format!("o{who}"), 2000.0);
             match what {
                 0 => {
                     let known: Vec<u64> = agents.iter().take(agent + 1).map(Lease::epoch).collect();
                     bids[who] = Some(Bid::new(5, &known));
                 }
                 1..=3 => if let Some(bid) = &mut bids[who] {
-                    let answer = agents[agent].grant(now, bid.epoch(), name, 2000.0);
+                    let answer = agents[agent].grant(now, bid.epoch(), name);
                     // The answer may be lost: then it counts as a refusal, and the agent holds what it granted.
                     if what < 3 {
                         bid.answer(agent, answer.as_ref().copied().map_err(Some));
@@ -123,7 +123,7 @@
             let at = |who: usize| {
                 let epoch = bids[who].as_ref().filter(|b| b.standing() == Standing::Won).map(Bid::epoch);
                 epoch.map(|epoch| {
-                    let name = holder(&format!("o{who}"));
+                    let name = holder(&format!("o{who}"), 2000.0);
                     agents.iter().filter(|a| a.check(now, epoch).is_ok() && a.holder(now) == Some(&name)).count()
                 })
             };
--- a/crates/glenctl/src/fleet.rs
+++ b/crates/glenctl/src/fleet.rs
@@ -12,8 +12,11 @@
 use glenwood_fleet::lease::{Bid, Refused, Standing};
 use serde_json::json;
 
-/// For how long the lease is asked for; it is held on to by asking again under the same epoch.
-const LEASE_MS: f64 = 600_000.0;
+/// For how long the lease is asked for; it is held on to by asking again under the same epoch. One whose holder vanishes
+/// is free again after that.
+const LEASE_MS: f64 = 5000.0;
+/// How often it is asked for again while a change is followed.
+const HOLD_ON: Duration = Duration::from_millis(1000);
 /// How often a change is looked at.
 const LOOK: Duration = Duration::from_millis(200);
 
@@ -151,6 +154,8 @@
 struct Held<'a> {
     granted: Vec<&'a Path>,
     epoch: u64,
+    who: &'a str,
+    why: String,
 }
 
 /// How often a bid is made anew where another one came in between.
@@ -164,16 +169,11 @@
         let mut bid = Bid::new(agents.len(), &known);
         let mut last = Fault::Refused("no agent granted the lease".into());
         for _ in 0..BIDS {
-            let mut held = Self { granted: Vec::new(), epoch: bid.epoch() };
+            let (who, granted) = (arguments.who.as_str(), Vec::new());
+            let mut held = Self { granted, epoch: bid.epoch(), who, why: why.to_string() };
             let mut in_between = false;
             for (n, agent) in agents.iter().enumerate() {
-                let lease = Ask::Lease {
-                    who: arguments.who.clone(),
-                    why: why.into(),
-                    epoch: Some(bid.epoch()),
-                    span_ms: LEASE_MS,
-                };
-                match say(agent, &lease) {
+                match say(agent, &held.lease()) {
                     Ok(_) => {
                         bid.answer(n, Ok(()));
                         held.granted.push(agent);
@@ -199,6 +199,19 @@
         Err(last)
     }
 
+    fn lease(&self) -> Ask {
+        let (who, why) = (self.who.to_string(), self.why.clone());
+        Ask::Lease { who, why, epoch: Some(self.epoch), span_ms: LEASE_MS }
+    }
+
+    /// Holds on to it for another while.
+    fn hold_on(&self) {
+        for agent in &self.granted {
+            // An agent that is restarted knows of it; one that stays away is seen by what is asked of it.
+            let _ = ask(agent, &self.lease());
+        }
+    }
+
     /// May something be asked of this agent?
     fn at(&self, agent: &Path) -> Result<u64, Fault> {
         let granted = self.granted.contains(&agent);
@@ -290,9 +303,13 @@
 }
 
 /// Follows a change to its end; true where it was done.
-fn follow(agent: &Path) -> Result<bool, Fault> {
-    let (mut said, mut at) = (String::new(), Instant::now());
+fn follow(agent: &Path, held: &Held) -> Result<bool, Fault> {
+    let (mut said, mut at, mut asked) = (String::new(), Instant::now(), Instant::now());
     loop {
+        if asked.elapsed() > HOLD_ON {
+            asked = Instant::now();
+            held.hold_on();
+        }
         let status = status(agent)?;
         match (&status.change, &status.outcome) {
             (Some((words, done, count)), _) => {
@@ -335,7 +352,7 @@
             println!("{}: {words}", agent.display());
         }
         // The next machine only when this one is through and well.
-        if wait && !follow(agent)? {
+        if wait && !follow(agent, &held)? {
             return Ok(false);
         }
     }
--- a/crates/glenctl/tests/fleet.rs
+++ b/crates/glenctl/tests/fleet.rs
@@ -203,3 +203,28 @@
     assert!(machines[2].fleet(&["roll", "--to", "r2"]).status.success());
     assert_eq!(machines[2].of("n0")["release"], "r2");
 }
+
+/// The disk is full: the agent does nothing that it can't write down, says so and ends; its instances go on, and with room
+/// on the disk it finds them and what it had written.
+#[test]
+fn a_full_disk_ends_the_agent_and_not_the_instances() {
+    let mut machine = machine("full", 2, "");
+    let pid = machine.of("n1")["pid"].clone();
+    machine.kill_agent();
+    machine.start_agent_with_room(8);
+    for _ in 0..200 {
+        // Each writes some facts; what is refused for want of room changes nothing.
+        machine.fleet(&["stop", "n0"]);
+        machine.fleet(&["start", "n0"]);
+        if machine.agent_ended() {
+            break;
+        }
+    }
+    assert!(machine.agent_log().contains("File too large"), "{}", machine.agent_log());
+    assert!(wait("an answer", is_ready(machine.addresses[1])), "n1 goes on");
+    machine.start_agent();
+    // Whoever had the lease when the agent ended may have it still, for its time.
+    until("n0 is started", || machine.fleet(&["start", "n0"]).status.success());
+    machine.until_well();
+    assert_eq!(machine.of("n1")["pid"], pid, "it was found, not started anew");
+}
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -121,19 +121,44 @@
     /// # Panics
     /// Where it does not.
     pub fn start_agent(&mut self) {
+        self.start_agent_by(Command::new(&self.glenctl));
+    }
+
+    /// The same, on a disk that is full as soon as a file has so many blocks of 512 bytes, as the limit of the process
+    /// on the size of files makes it look.
+    ///
+    /// # Panics
+    /// Where it does not answer.
+    pub fn start_agent_with_room(&mut self, blocks: usize) {
+        let mut command = Command::new("/bin/sh");
+        let script = format!("trap '' XFSZ; ulimit -f {blocks}; exec \"$0\" \"$@\"");
+        command.arg("-c").arg(script).arg(&self.glenctl);
+        self.start_agent_by(command);
+    }
+
+    fn start_agent_by(&mut self, mut command: Command) {
         let log = std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("agent.log"));
-        let child = Command::new(&self.glenctl)
-            .args(["agent", "--fleet"])
-            .arg(self.folder.join("fleet.toml"))
-            .arg("--folder")
-            .arg(self.folder.join("run"))
-            .stdin(Stdio::null())
-            .stderr(log.expect("a file"))
-            .spawn();
-        self.agent = Some(child.expect("it starts"));
+        command.args(["agent", "--fleet"]).arg(self.folder.join("fleet.toml"));
+        command.arg("--folder").arg(self.folder.join("run"));
+        command.stdin(Stdio::null()).stderr(log.expect("a file"));
+        self.agent = Some(command.spawn().expect("it starts"));
         until("the agent answers", || self.status().is_some());
     }
 
+    /// Has its agent ended by itself?
+    pub fn agent_ended(&mut self) -> bool {
+        let ended = self.agent.as_mut().is_some_and(|agent| matches!(agent.try_wait(), Ok(Some(_))));
+        if ended {
+            self.agent = None;
+        }
+        ended
+    }
+
+    /// The number of its agent's process, where it runs.
+    pub fn agent_pid(&self) -> Option<u32> {
+        self.agent.as_ref().map(Child::id)
+    }
+
     /// Ends the agent with no warning.
     ///
     /// # Panics
