Two registrars of one birth do not take a name from one another without end

Need: two processes that register the same name with the same birth replaced each other's node as fast as the service answered.

Change: a registrar replaces another session's node once in five seconds at the most, and looks later each time between.

--- a/crates/coordination/src/registrar.rs
+++ b/crates/coordination/src/registrar.rs
@@ -6,7 +6,8 @@
 //! *The old session's end must not take the new one's node along.* Where the name is taken by another session, the node is
 //! read first: one of an earlier birth, or of this process, is replaced (removed and made again, in one transaction, by
 //! its version), so that the old owner's end finds nothing of its own. One of a later birth belongs to a process that has
-//! taken this one's place: this one gives way, so that two processes under one name do not fight for it.
+//! taken this one's place: this one gives way, so that two processes under one name do not fight for it. Two of the same
+//! birth can't be told apart; each replaces the other's node once in five seconds at the most.
 
 use std::collections::VecDeque;
 
@@ -74,6 +75,8 @@
     written: u64,
     state: State,
     failures: i32,
+    /// When another session's node was last replaced.
+    replaced: Option<Millis>,
     /// Registered and draining have been said for this count.
     said: Option<u64>,
     outputs: VecDeque<Step<Said>>,
@@ -90,6 +93,7 @@
             written: 0,
             state: State::Out(None),
             failures: 0,
+            replaced: None,
             said: None,
             outputs: VecDeque::new(),
         };
@@ -270,6 +274,11 @@
             self.outputs.push_back(Step::Said(Said::GaveWay));
             return;
         }
+        // Two that can't be told apart by their births would take it from one another as fast as the service answers.
+        if self.replaced.is_some_and(|at| now < at + AGAIN.1) {
+            return self.again(now);
+        }
+        self.replaced = Some(now);
         let delete = Request::Delete { path: self.path(), version: stat.version };
         let replace = Request::Multi(vec![delete, self.node()]);
         self.ask(now, Ask::Replace, replace);
--- a/crates/testkit/tests/registrations.rs
+++ b/crates/testkit/tests/registrations.rs
@@ -266,6 +266,18 @@
     assert_eq!((list.take_changes(), told(&mut world, 1)), (vec![], vec![Told::GaveWay]));
 }
 
+/// Two processes that say the same birth can't be told apart; they do not take the name from one another without end.
+#[test]
+fn two_processes_of_one_birth_cost_few_changes() {
+    let (mut world, answers, mut list) = set_up(2, None);
+    answers.store(false, Ordering::Relaxed);
+    world.register(9, Host { host: "s1".into(), ..host(9, 1.0) });
+    list.pass(&mut world, 60_000.0);
+    let changes = list.take_changes().len();
+    assert!((2..60).contains(&changes), "{changes} changes in a minute");
+    assert!(list.health(1).is_some());
+}
+
 /// The answer to `create` is lost: the entry is there once, with the session that lives.
 #[test]
 fn an_answer_that_is_lost_is_asked_for_again() {
