--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -302,7 +302,12 @@
             Some(status) => status,
             None => Status { ready: false, ..live.status },
         };
-        self.drive(now);
+        // Many say something many times a second: the others are looked at only where this brought something about.
+        if self.step_change(now) {
+            self.drive(now);
+        } else {
+            self.keep(now, name);
+        }
     }
 
     /// Does what is due by now.
