--- a/crates/glenctl/src/main.rs
+++ b/crates/glenctl/src/main.rs
@@ -10,7 +10,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use clap::{Parser, Subcommand};
+use clap::{CommandFactory, Parser, Subcommand};
 
 /// The operators' program of the load balancer glenwood.
 #[derive(Debug, Parser)]
@@ -34,6 +34,12 @@
         #[command(subcommand)]
         what: stand_in::What,
     },
+    /// Writes a shell's completions of this program to standard output
+    Completions {
+        /// For which shell
+        #[arg(value_enum)]
+        shell: clap_complete::Shell,
+    },
     /// Runs an agent in this process, as the program glenwood-agent does
     #[command(hide = true)]
     Agent(glenwood_agent::Arguments),
@@ -49,6 +55,10 @@
 fn main() -> ExitCode {
     match Arguments::parse().command {
         Command::Demo(arguments) => demo::run(&arguments),
+        Command::Completions { shell } => {
+            clap_complete::generate(shell, &mut Arguments::command(), "glenctl", &mut std::io::stdout());
+            ExitCode::SUCCESS
+        }
         Command::Fleet(arguments) => fleet::run(&arguments),
         Command::Agent(arguments) => glenwood_agent::run(&arguments),
         Command::Register(arguments) => register::run(arguments),
