--- a/crates/glenctl/src/fleet.rs
+++ b/crates/glenctl/src/fleet.rs
@@ -427,9 +427,11 @@
         if now.change.is_none() {
             continue;
         }
-        // The change is its beginner's, who holds the lease meanwhile: a word on it is said under that epoch.
+        // Whoever follows the change holds the lease: it is that operator's to say. One who has vanished loses it in
+        // seconds, and then anybody's.
         let held = match &now.lease {
-            Some(_) => None,
+            Some((who, _)) if who.starts_with(&format!("{} (", arguments.who)) => None,
+            Some((who, why)) => return Err(Fault::Refused(format!("held by {who} ({why})"))),
             None => Some(Held::take(arguments, "a word on a change")?),
         };
         let epoch = held.as_ref().map_or(now.epoch, |held| held.epoch);
--- a/crates/glenctl/tests/fleet.rs
+++ b/crates/glenctl/tests/fleet.rs
@@ -228,3 +228,25 @@
     machine.until_well();
     assert_eq!(machine.of("n1")["pid"], pid, "it was found, not started anew");
 }
+
+/// While an operator follows a change it is that operator's to undo; another one is told whose it is.
+#[test]
+fn a_change_is_undone_by_whoever_has_the_lease() {
+    let machine = machine("word", 2, "");
+    let mut roll = machine.command(&["roll", "--to", "hangs"]);
+    let mut roll = roll.stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("it starts");
+    until("it is under way", || {
+        machine.status().is_some_and(|s| !s["change"].is_null() && !s["lease"].is_null())
+    });
+    let mut other = Command::new(GLENCTL);
+    let other = other.args(["fleet", "--who", "ben", "--agents"]).arg(machine.socket()).arg("abort").output();
+    let other = other.expect("it runs");
+    let said = String::from_utf8_lossy(&other.stderr).into_owned();
+    assert!(other.status.code() == Some(3) && said.contains("held by ada (uid "), "{said}");
+    assert!(machine.fleet(&["abort"]).status.success());
+    until("the roll ends", || matches!(roll.try_wait(), Ok(Some(_))));
+    assert_eq!(roll.wait().expect("it has ended").code(), Some(1));
+    let outcome = machine.status().expect("it answers")["outcome"].clone();
+    assert_eq!(outcome, serde_json::json!(["RolledBack", "an operator's word"]));
+    machine.until_well();
+}
