A node that is pushed its list opens the watch at its agent

A trace of connects and list lines showed no line at all after the start: where lists are pushed the module asks for nothing, and on sockets the agent's watch was then never opened. The node lived by its saved list, and whoever took over the address of a server that had gone got its requests. Ruled out: a probe that takes a newcomer for the old server (the trace shows plain requests), a lost line of the watch (there was no watch).

Change: crates/node/src/runtime.rs keeps a watch open at the agent where lists are pushed, opened again 20 to 320 ms after it ended; the module asks for nothing in that mode, also after a reload (balance.rs, DiscoveryMoved).

Test: a_list_that_is_pushed_is_followed_by_a_watch_at_the_agent; without the change to runtime.rs it failed (waited in vain: the agent's list counts).

--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use glenwood_core::{AttemptId, Ended};
-use glenwood_policy::{Outcome, ServerId};
+use glenwood_policy::{Discovery, Outcome, ServerId};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{spawn_local, AbortHandle};
@@ -36,6 +36,9 @@
 const LOOK: Duration = Duration::from_millis(5);
 /// Connections that the kernel may hold until they are accepted.
 const BACKLOG: u32 = 1024;
+/// How long after its watch at the agent ended a node that is pushed its list opens the next: first, and at most. What the
+/// agent has counts as told, and to ask it costs nobody anything.
+const AGENT_AGAIN: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(320));
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(200);
 
@@ -95,6 +98,24 @@
     }
 }
 
+/// Keeps a watch open at the node's agent. Where lists are pushed the module asks for nothing, as they come by themselves;
+/// on sockets they come by this watch, and without it a node would serve by its saved list for ever.
+async fn watch_agent(links: Rc<Links>) {
+    let mut wait = AGENT_AGAIN.0;
+    loop {
+        let opened = Instant::now();
+        let call = spawn_local(discovery::follow(links.hub.clone(), links.discovery.get()));
+        links.call.replace(Some(call.abort_handle()));
+        // A call that was ended from here makes room for one to where discovery is now.
+        let moved = call.await.is_err();
+        if moved || opened.elapsed() > AGENT_AGAIN.1 {
+            wait = AGENT_AGAIN.0;
+        }
+        tokio::time::sleep(wait).await;
+        wait = (2 * wait).min(AGENT_AGAIN.1);
+    }
+}
+
 fn listen(at: SocketAddr) -> Result<TcpListener, String> {
     let listen = || {
         let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
@@ -140,6 +161,10 @@
         hub: hub.clone(),
     });
     hub.start(links.clone(), known);
+    let registered_alone = hub.config.operator.registrations.as_ref().is_some_and(|r| r.alone);
+    if hub.config.told.settings.discovery == Discovery::Pushed && !registered_alone {
+        spawn_local(watch_agent(links.clone()));
+    }
     if let Some(told) = hub.config.operator.registrations.clone() {
         registrations::take_saved(&hub, &told);
         spawn_local(registrations::follow(hub.clone(), told));
--- a/crates/node/tests/service.rs
+++ b/crates/node/tests/service.rs
@@ -55,6 +55,37 @@
     assert_eq!(node.exit_code(), Some(0));
 }
 
+/// Where lists are pushed the node still has to open the watch that brings them, and to open it again when it ends, goes
+/// silent, or moves: by the saved list alone it would send for ever to servers that are gone, and to whoever has their
+/// addresses now.
+#[test]
+fn a_list_that_is_pushed_is_followed_by_a_watch_at_the_agent() {
+    let [a, b, c] = ["a", "b", "c"].map(Peer::good);
+    let [at_a, at_b, at_c] = [&a, &b, &c].map(|p| [host("s0", p.address, "active", 1)]);
+    let (agent, other) = (Registry::new(&at_a), Registry::new(&at_c));
+    let mut told = config(agent.address);
+    told["settings"]["Discovery"] = json!("automatic");
+    told["known"] = serde_json::from_str(&line(1, true, &at_b)).expect("a list");
+    let node = Node::ready(&told);
+    let ask = |node: &Node| Client::to(node).ask(&request("look", "t1", 15_000)).body;
+    until("the agent's list counts, not the saved one", || ask(&node) == b"a");
+    agent.tell(2, &at_b, &at_b);
+    until("a change counts", || ask(&node) == b"b");
+    agent.down(true);
+    let calls = agent.calls().len();
+    until("it is asked again while it is down", || agent.calls().len() >= calls + 4);
+    assert_eq!(ask(&node), b"b", "the last list serves");
+    agent.tell(3, &at_a, &at_a);
+    agent.down(false);
+    until("what changed meanwhile counts", || ask(&node) == b"a");
+    agent.silent();
+    let watches = agent.watches();
+    until("a silent watch is given up for another", || agent.watches() > watches);
+    told["discovery"] = json!(other.address.to_string());
+    node.reload(&told.to_string());
+    until("the agent has moved", || ask(&node) == b"c");
+}
+
 /// A connection that was busy while its server moved does not come back into use: it leads to the old place.
 #[test]
 fn a_connection_that_was_busy_while_its_server_moved_is_not_kept() {
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -358,7 +358,10 @@
             Event::ListNews(entries) => self.on_list(entries, false, false),
             Event::ListFailed => self.on_list_failed(),
             // Whatever backoff the old address had earned, the new one is asked at once.
-            Event::DiscoveryMoved => self.call = Call::AskAt(now, 0),
+            Event::DiscoveryMoved if self.set.discovery == Discovery::Asked => {
+                self.call = Call::AskAt(now, 0)
+            }
+            Event::DiscoveryMoved => {}
             Event::Request { id, class, tenant, deadline } => {
                 self.on_request(id, class, tenant, deadline, actions);
             }
