A client's repeat is known and served by the time of its first asking

Deadlines don't tell there, as they are those of a try. At fault: on_request and age in balance.rs.

Change: a request brings what a repeat of it has in common with it (its key; else target, tenant, whom it is about, estimate and body, with the node's seed). What went unserved is remembered while its client waits (unserved.rs, 4,096 at most, no decision in it); one refusal explains one repeat. A repeat keeps the time and the share of its first asking. Where late answers are worth nothing, one with less time left than is usual is refused at once; a new one is always let try, as a class that became slow would else never be seen again. Worth goes by work where the settings count it so. A cut-off attempt that had little time lowers no limit, and never raises one.

Tests: crates/policy/tests/repeats.rs, unserved.rs, call.rs.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -255,12 +255,13 @@
         self.last += 1;
         let request = RequestId(self.last);
         let (tenant, deadline) = (incoming.tenant, incoming.before_deadline(ANSWER_MARGIN));
+        let (alike, work) = (incoming.alike, incoming.work);
         let guard = Due::at(incoming.before_deadline(GUARD_MARGIN));
         self.guards.insert((guard, request));
         let open =
             Open { id: incoming.id, payload: incoming.payload, answered: false, guard, tries: Vec::new() };
         self.requests.insert(request, open);
-        self.feed(now, Event::Request { id: request, class, tenant, deadline });
+        self.feed(now, Event::Request { id: request, class, tenant, deadline, alike, work });
         Ok(request)
     }
 
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -15,9 +15,16 @@
         nodes: 1,
         classes: CLASSES
             .iter()
-            .map(|effect| Class { aim: 100.0, worth: 1.0, late_worth: 0.2, effect: *effect })
+            .map(|effect| Class {
+                aim: 100.0,
+                worth: 1.0,
+                late_worth: 0.2,
+                patience: f64::INFINITY,
+                effect: *effect,
+            })
             .collect(),
         tenants: Vec::new(),
+        by_work: false,
         over_share_worth: 1.0,
         goal: Goal { worth: 1.0, ..Goal::default() },
         limits: Limits {
@@ -57,7 +64,17 @@
 fn incoming(class: usize, id: &str, began: f64, wait: f64) -> Incoming<u32> {
     let key = (class == 1).then(|| Token::new("k").expect("good"));
     let id = Token::new(id).expect("good");
-    Incoming { class, tenant: None, key, id, began, deadline: began + wait, payload: 9 }
+    Incoming {
+        class,
+        tenant: None,
+        key,
+        id,
+        began,
+        deadline: began + wait,
+        alike: None,
+        work: None,
+        payload: 9,
+    }
 }
 
 fn outputs(core: &mut Under) -> Vec<Output<u32, &'static str>> {
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -1,5 +1,7 @@
 //! A request between front and backend, whatever protocol each of them speaks.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use bytes::Bytes;
 use glenwood_core::Token;
 use glenwood_msgpack_rpc::message;
@@ -15,6 +17,8 @@
 pub const ORG: HeaderName = HeaderName::from_static("x-org");
 /// The key of a keyed request.
 pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// A client's guess at the work, in microseconds.
+pub const ESTIMATE: HeaderName = HeaderName::from_static("x-estimate");
 /// The time that is left.
 pub const REMAINING: HeaderName = HeaderName::from_static("x-remaining-ms");
 
@@ -70,6 +74,34 @@
 }
 
 impl Call {
+    /// What a client's repeat of it has in common with it: its key, where it has one, and else what is asked for, by whom,
+    /// about what, and with which estimate. Its id is new in each try. `seed` keeps others from making up numbers that meet.
+    pub fn alike(&self, seed: u64, tenant: Option<usize>) -> u64 {
+        let mut hash = DefaultHasher::new();
+        (seed, tenant, self.method.as_str()).hash(&mut hash);
+        if let Some(key) = &self.key {
+            key.hash(&mut hash);
+            return hash.finish();
+        }
+        self.target.path_and_query().map(|p| p.as_str()).hash(&mut hash);
+        match &self.via {
+            Via::Http(headers) => {
+                cookie_user(headers).hash(&mut hash);
+                headers.get(ESTIMATE).hash(&mut hash);
+            }
+            Via::Rpc { user, .. } => user.as_deref().hash(&mut hash),
+        }
+        self.body.hash(&mut hash);
+        hash.finish()
+    }
+
+    /// The client's guess at its work, where it gives one that can be read.
+    pub fn work(&self) -> Option<f64> {
+        let Via::Http(headers) = &self.via else { return None };
+        let work: f64 = headers.get(ESTIMATE)?.to_str().ok()?.parse().ok()?;
+        (work.is_finite() && work > 0.0).then_some(work)
+    }
+
     /// Its headers for a server that speaks HTTP.
     pub fn headers(&self) -> HeaderMap {
         let (org, user) = match &self.via {
@@ -111,3 +143,44 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn call(id: &str, key: Option<&str>, target: &str, headers: &[(HeaderName, &str)]) -> Call {
+        let token = |text: &str| Token::new(text).expect("a token");
+        let mut map = HeaderMap::new();
+        for (name, value) in headers {
+            map.insert(name.clone(), HeaderValue::from_str(value).expect("a value"));
+        }
+        let (key, target) = (key.map(token), target.parse().expect("a target"));
+        Call { id: token(id), key, method: Method::GET, target, via: Via::Http(map), body: Bytes::new() }
+    }
+
+    #[test]
+    fn a_repeat_is_like_what_it_repeats_and_little_else_is() {
+        let about = [(ESTIMATE, "1500"), (TXN, "t1")];
+        let first = call("t1", None, "/look/7?a=1", &about).alike(1, Some(2));
+        let again = call("t2", None, "/look/7?a=1", &[(ESTIMATE, "1500"), (TXN, "t2")]);
+        assert_eq!(again.alike(1, Some(2)), first, "the id is new in each try");
+        assert_ne!(again.alike(1, Some(3)), first, "another tenant");
+        assert_ne!(again.alike(2, Some(2)), first, "another node");
+        assert_ne!(call("t2", None, "/look/8?a=1", &about).alike(1, Some(2)), first, "another thing");
+        assert_ne!(call("t2", None, "/look/7?a=1", &[(ESTIMATE, "1600")]).alike(1, Some(2)), first);
+        let user = [(ESTIMATE, "1500"), (COOKIE, "user=u1")];
+        assert_ne!(call("t2", None, "/look/7?a=1", &user).alike(1, Some(2)), first, "about somebody else");
+        let keyed = call("t1", Some("k1"), "/pay", &about).alike(1, Some(2));
+        assert_eq!(call("t2", Some("k1"), "/pay", &[]).alike(1, Some(2)), keyed, "its key says it all");
+        assert_ne!(call("t2", Some("k2"), "/pay", &about).alike(1, Some(2)), keyed);
+    }
+
+    #[test]
+    fn an_estimate_that_makes_no_sense_is_none() {
+        let work = |text: &str| call("t1", None, "/look", &[(ESTIMATE, text)]).work();
+        assert_eq!(work("1500"), Some(1500.0));
+        for bad in ["", "x", "-1", "0", "NaN", "inf", "1e999"] {
+            assert_eq!(work(bad), None, "{bad}");
+        }
+    }
+}
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -139,6 +139,8 @@
         id: asked.call.id.clone(),
         began,
         deadline: began + remaining.as_secs_f64() * 1000.0,
+        alike: Some(asked.call.alike(hub.config.seed, asked.tenant)),
+        work: asked.call.work(),
         payload: Rc::new(asked.call),
     };
     let (answer, answered) = oneshot::channel();
--- a/crates/node/src/front/msgpack.rs
+++ b/crates/node/src/front/msgpack.rs
@@ -298,7 +298,18 @@
         let body = if asked.body.len() < 1024 { Bytes::copy_from_slice(&asked.body) } else { asked.body };
         let call =
             Call { id: id.clone(), key: key.clone(), method, target, via: Via::Rpc { org, user }, body };
-        Ok(Incoming { class, tenant, key, id, began, deadline, payload: Rc::new(call) })
+        let alike = Some(call.alike(self.hub.config.seed, tenant));
+        Ok(Incoming {
+            class,
+            tenant,
+            key,
+            id,
+            began,
+            deadline,
+            alike,
+            work: call.work(),
+            payload: Rc::new(call),
+        })
     }
 
     // ---- Memory ----
--- a/crates/policy/examples/embed.rs
+++ b/crates/policy/examples/embed.rs
@@ -6,8 +6,15 @@
     Settings {
         number: 0,
         nodes: 1,
-        classes: vec![Class { aim: 100.0, worth: 1.0, late_worth: 0.0, effect: Effect::Unsafe }],
+        classes: vec![Class {
+            aim: 100.0,
+            worth: 1.0,
+            late_worth: 0.0,
+            patience: f64::INFINITY,
+            effect: Effect::Unsafe,
+        }],
         tenants: Vec::new(),
+        by_work: false,
         over_share_worth: 1.0,
         goal: Goal { worth: 1.0, ..Goal::default() },
         limits: Limits {
@@ -54,7 +61,14 @@
     let entries = (1..=3).map(|id| entry(id, Listed::Up)).collect();
     tell(&mut balancer, 0.0, Event::List { entries, saved: false });
 
-    let ask = |id, now| Event::Request { id, class: 0, tenant: None, deadline: now + 500.0 };
+    let ask = |id, now| Event::Request {
+        id,
+        class: 0,
+        tenant: None,
+        deadline: now + 500.0,
+        alike: None,
+        work: None,
+    };
     let first = RequestId(1);
     let server = tell(&mut balancer, 10.0, ask(first, 10.0)).expect("three servers are ready");
     tell(&mut balancer, 22.0, ended(first, 0, server, Outcome::Done));
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -49,6 +49,8 @@
     pub worth: f64,
     /// Part of the worth that a later answer still has.
     pub late_worth: f64,
+    /// How long a client waits in all, over all its tries; infinite where that is not told.
+    pub patience: Millis,
     /// May it run again?
     pub effect: Effect,
 }
@@ -134,6 +136,8 @@
     pub classes: Vec<Class>,
     /// The tenants, by index; may be empty.
     pub tenants: Vec<Tenant>,
+    /// Worth counts for each unit of a request's work, not for each request.
+    pub by_work: bool,
     /// Worth of a request beyond its tenant's share, as a part of its class's.
     pub over_share_worth: f64,
     /// What counts how much.
@@ -203,6 +207,9 @@
                 amounts.push((format!("classes[{n}].effect.memory"), memory));
             }
             shares.push((format!("classes[{n}].late_worth"), class.late_worth));
+            if class.patience.is_nan() || class.patience < 0.0 {
+                return fail(format!("classes[{n}].patience: {} is negative or no number", class.patience));
+            }
             if class.aim <= 0.0 {
                 return fail(format!("classes[{n}].aim: must be above 0"));
             }
@@ -313,6 +320,11 @@
         /// When the client gives up. A repeat of a refused request whose client still counts from its first
         /// asking comes with less time than a new one, and is treated as the older one that it is.
         deadline: Millis,
+        /// What a client's repeat has in common with what it repeats, and hardly any other request: a number made of
+        /// its key, or of what it asks for and for whom. `None`: repeats can't be told.
+        alike: Option<u64>,
+        /// A guess at its work, in any unit that is the same for all; `None` where there is none.
+        work: Option<f64>,
     },
     /// A streamed answer has begun; the client is bound to this attempt.
     Streaming {
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -8,6 +8,8 @@
 use std::collections::BTreeMap;
 
 use crate::api::*;
+use crate::rate::Rate;
+use crate::unserved::{First, Unserved};
 
 /// Consecutive failures that make a server an outlier, where a single one proves nothing.
 const OUTLIER_FAILURES: u32 = 3;
@@ -30,8 +32,9 @@
 /// In how many steps the subset follows the warmth of its servers.
 const WARMTH_STEPS: f64 = 32.0;
 
-/// Part of its aim that an answer should take on average: what is more makes too many late.
-const PACE_TARGET: f64 = 0.35;
+/// Part of its aim that an answer should take on average: what is more makes too many late. The second where a late
+/// answer is worth nothing: it is cut off then, and all work that went into it is lost.
+const PACE_TARGET: (f64, f64) = (0.35, 0.25);
 /// What an answer that came too late, or never, counts as, in parts of its aim.
 const LATE: f64 = 1.25;
 /// What an attempt that was cut off at its aim counts as: it would have taken about as long again.
@@ -87,6 +90,8 @@
     /// When the subset was last chosen.
     chosen: Millis,
     requests: BTreeMap<RequestId, Request>,
+    /// What went unserved and may be asked for again.
+    unserved: Unserved,
     /// Requests held at the node.
     waiting: Vec<RequestId>,
     /// The turn that was taken last.
@@ -158,6 +163,10 @@
     class: usize,
     tenant: Option<usize>,
     in_share: bool,
+    /// What a repeat of it has in common with it.
+    alike: Option<u64>,
+    /// Its work, where worth goes by that.
+    work: f64,
     /// When the client first asked, as far as its deadline tells.
     asked: Millis,
     /// When this try of it came.
@@ -191,12 +200,6 @@
     most_left: Millis,
 }
 
-/// A rate that forgets.
-struct Rate {
-    per_s: f64,
-    at: Millis,
-}
-
 /// Worth asked for and served.
 struct Served {
     asked: Rate,
@@ -230,21 +233,6 @@
     outcome == Outcome::ConnectFailed && took < 0.9 * limits.connect_timeout
 }
 
-impl Rate {
-    fn new() -> Self {
-        Self { per_s: 0.0, at: 0.0 }
-    }
-
-    fn add(&mut self, now: Millis, span: Millis, amount: f64) {
-        self.per_s = self.at(now, span) + amount * 1000.0 / span.max(1.0);
-        self.at = now;
-    }
-
-    fn at(&self, now: Millis, span: Millis) -> f64 {
-        self.per_s * (-(now - self.at).max(0.0) / span.max(1.0)).exp()
-    }
-}
-
 impl Server {
     fn listed_up(&self) -> bool {
         self.entry.state == Listed::Up
@@ -329,6 +317,7 @@
             subset: Vec::new(),
             chosen: f64::NEG_INFINITY,
             requests: BTreeMap::new(),
+            unserved: Unserved::default(),
             waiting: Vec::new(),
             cursor: 0.0,
             cursor_at: None,
@@ -362,8 +351,9 @@
                 self.call = Call::AskAt(now, 0)
             }
             Event::DiscoveryMoved => {}
-            Event::Request { id, class, tenant, deadline } => {
-                self.on_request(id, class, tenant, deadline, actions);
+            Event::Request { id, class, tenant, deadline, alike, work } => {
+                let work = work.filter(|w| self.set.by_work && w.is_finite() && *w > 0.0).unwrap_or(1.0);
+                self.on_request(id, class, tenant, deadline, alike, work, actions);
             }
             Event::Streaming { id, attempt } => self.on_streaming(id, attempt, actions),
             Event::Ended { id, attempt, server, outcome, took, finished } => {
@@ -380,7 +370,10 @@
                 self.serve_waiting(actions);
             }
             Event::Probed { server, outcome, took } => self.on_probed(server, outcome, took),
-            Event::ClientGone(id) => self.forget(id, actions),
+            Event::ClientGone(id) => {
+                self.remember(id);
+                self.forget(id, actions);
+            }
             Event::Timer => {}
         }
         if now >= self.timer_due {
@@ -817,12 +810,15 @@
 
     // ---- Requests ----
 
+    #[allow(clippy::too_many_arguments)]
     fn on_request(
         &mut self,
         id: RequestId,
         class: usize,
         tenant: Option<usize>,
         deadline: Millis,
+        alike: Option<u64>,
+        work: f64,
         actions: &mut Vec<Action>,
     ) {
         if self.requests.contains_key(&id) {
@@ -838,17 +834,37 @@
         let size: f64 = self.rotated().map(|s| s.size * s.warmth(self.now, &self.set.rules)).sum();
         self.arrivals.add(self.now, self.set.rules.fall_window, 1.0 / size.max(1.0));
         let tenant = tenant.filter(|t| *t < self.set.tenants.len());
-        let in_share = tenant.is_none_or(|t| self.take_quota(t));
-        let attempts = Vec::new();
-        let came = self.now;
-        let asked = came - self.age(class, deadline);
-        let request = Request { class, tenant, in_share, asked, came, deadline, attempts, streaming: false };
-        self.tally(&request, |care| &mut care.asked);
+        // A client that comes back asks for the same thing: it is served by the time of its first asking or not at all,
+        // and counts once in its tenant's share and in what was asked for. Where more is refused than served, to take
+        // repeats for new ones spends most of the work on what is too late, and shares on refusals.
+        let first = alike.and_then(|alike| self.unserved.take(self.now, alike));
+        let in_share = match &first {
+            Some(first) => first.in_share,
+            None => tenant.is_none_or(|t| self.take_quota(t)),
+        };
+        let (attempts, came) = (Vec::new(), self.now);
+        let asked = (came - self.age(class, deadline)).min(first.as_ref().map_or(came, |u| u.asked));
+        let streaming = false;
+        let request =
+            Request { class, tenant, in_share, alike, work, asked, came, deadline, attempts, streaming };
+        if first.is_none() {
+            self.tally(&request, |care| &mut care.asked);
+        }
         self.requests.insert(id, request);
         self.waiting.push(id);
         self.serve_waiting(actions);
     }
 
+    /// Notes that a request goes unserved, for when its client comes back.
+    fn remember(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if let Some(alike) = request.alike {
+            let until = request.asked + self.set.classes[request.class].patience.min(MEMORY);
+            let first = First { asked: request.asked, in_share: request.in_share };
+            self.unserved.put(self.now, alike, first, until);
+        }
+    }
+
     /// How long ago the client first asked. A client that comes back after a refusal still gives up when the
     /// time of its first asking ends: to take its request for a new one would spend work on what can no
     /// longer be in time. The most time that a class's requests ever had left is that of new ones. Where
@@ -877,7 +893,7 @@
 
     fn worth(&self, request: &Request) -> f64 {
         let share = if request.in_share { 1.0 } else { self.set.over_share_worth };
-        self.set.classes[request.class].worth * share
+        self.set.classes[request.class].worth * share * request.work
     }
 
     fn tally(&mut self, request: &Request, of: impl Fn(&mut Served) -> &mut Rate) {
@@ -1016,11 +1032,14 @@
     ) {
         let (now, rules, done) = (self.now, &self.set.rules, outcome == Outcome::Done);
         let (first, least_limit) = (self.first_limit(), self.least_limit());
+        let late = self.set.classes[class].late_worth > 0.0;
+        let target = if late { PACE_TARGET.0 } else { PACE_TARGET.1 };
         let part = match outcome {
             Outcome::Done => (took / self.set.classes[class].aim).min(LATE),
-            // Cut off when it was of no more use. One that had little time says little.
-            Outcome::TimedOut if self.set.classes[class].late_worth == 0.0 => {
-                CUT * (took / self.set.classes[class].aim).min(1.0)
+            // Cut off when it was of no more use. One that had little time says little, and nothing good.
+            Outcome::TimedOut if !late => {
+                let part = CUT * (took / self.set.classes[class].aim).min(1.0).powi(2);
+                part.max(target.next_up())
             }
             Outcome::TimedOut | Outcome::Full => LATE,
             _ => return,
@@ -1039,10 +1058,10 @@
         }
         // A fleet that slows down at once is seen by all its answers long before each limit has heard enough
         // of its own. Where half as many are late as come well in time, there is too much out.
-        let step = LIMIT_GAIN * (LATE - PACE_TARGET) / (self.subset.len().max(1) as f64).sqrt();
+        let step = LIMIT_GAIN * (LATE - target) / (self.subset.len().max(1) as f64).sqrt();
         if part >= 1.0 {
             self.fleet = (self.fleet * (-2.0 * step).exp()).max(FLEET_LEAST);
-        } else if part <= PACE_TARGET {
+        } else if part <= target {
             self.fleet = (self.fleet * step.exp()).min(FLEET_RESERVE);
         }
         let Some(s) = self.servers.get_mut(&id) else { return };
@@ -1061,15 +1080,15 @@
             // A limit that was never reached protects nobody when the fleet slows down at once.
             s.limit *= 1.0 - LIMIT_FADE;
         }
-        if s.limit < first && part <= PACE_TARGET && at_limit {
+        if s.limit < first && part <= target && at_limit {
             // Answers are rare below one: without a quick way back a server that was slow for seconds would
             // stay out for minutes. Only to where limits begin: from there on many nodes would crowd it.
-            s.limit *= (LIMIT_GAIN * (LATE - PACE_TARGET)).exp();
+            s.limit *= (LIMIT_GAIN * (LATE - target)).exp();
         } else if at_limit {
             // One attempt at a time that still comes in time is not too much, even where the whole fleet is
             // so slow that it misses the target.
             let least = if part < 1.0 { s.limit.min(1.0) } else { least_limit };
-            s.limit = (s.limit * (LIMIT_GAIN * (PACE_TARGET - part)).exp()).max(least);
+            s.limit = (s.limit * (LIMIT_GAIN * (target - part)).exp()).max(least);
         }
     }
 
@@ -1094,6 +1113,7 @@
 
     /// The final answer of a request that is not served: refused where rule 2 lets it, else failed.
     fn conclude(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        self.remember(id);
         let Some(request) = self.requests.get(&id) else { return };
         let class = &self.set.classes[request.class];
         if request.may_repeat(class, &self.set.limits, self.now, None) {
@@ -1126,7 +1146,12 @@
             let class = request.class;
             // As long as an answer may still come in time.
             let spare = self.useful_until(request) - self.classes[class].mean;
-            let end = if request.attempts.is_empty() {
+            // Sent with less, it would most likely be cut off, and its work be lost. A new one is always let try, or a
+            // class that has once become slow would never be seen to recover.
+            let hopeless = self.set.classes[class].late_worth == 0.0 && self.now > spare.max(request.asked);
+            let end = if hopeless {
+                f64::NEG_INFINITY
+            } else if request.attempts.is_empty() {
                 // In a lasting overload a long hold helps nobody: all that is served has lost its time.
                 let aim = self.set.classes[class].aim;
                 let lasting = self.held_since.is_some_and(|since| self.now - since > aim);
@@ -1169,6 +1194,7 @@
             let slope = goal.worth / asked.max(f64::MIN_POSITIVE) + by_class[r.class] + tenant;
             let usual = self.classes[r.class].mean;
             let time = times.map_or(usual, |t| if t[r.class] > 0.0 { t[r.class] } else { usual });
+            let time = if self.set.by_work { r.work } else { time };
             Some((self.worth(r) * slope / time.max(f64::MIN_POSITIVE), r.came))
         };
         let keyed = may.filter_map(|place| Some((place, key(place)?)));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,12 +6,13 @@
 //! ```
 //! use glenwood_policy::*;
 //!
-//! let class = Class { aim: 100.0, worth: 1.0, late_worth: 0.0, effect: Effect::Unsafe };
+//! let class = Class { aim: 100.0, worth: 1.0, late_worth: 0.0, patience: f64::INFINITY, effect: Effect::Unsafe };
 //! let settings = Settings {
 //!     number: 0,
 //!     nodes: 1,
 //!     classes: vec![class],
 //!     tenants: Vec::new(),
+//!     by_work: false,
 //!     over_share_worth: 1.0,
 //!     goal: Goal { worth: 1.0, ..Goal::default() },
 //!     limits: Limits {
@@ -29,7 +30,7 @@
 //! let (mut actions, server) = (Vec::new(), ServerId(7));
 //! let up = Entry { server, zone: 0, cell: 0, kind: 0, state: Listed::Up, weight: 1.0, started: None };
 //! balancer.handle(0.0, Event::List { entries: vec![up], saved: false }, &mut actions);
-//! let request = Event::Request { id: RequestId(1), class: 0, tenant: None, deadline: 500.0 };
+//! let request = Event::Request { id: RequestId(1), class: 0, tenant: None, deadline: 500.0, alike: None, work: None };
 //! balancer.handle(1.0, request, &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { server: to, .. } if *to == server)));
 //! # Ok::<(), SettingsError>(())
@@ -38,6 +39,8 @@
 
 pub mod api;
 pub mod balance;
+mod rate;
+mod unserved;
 
 pub use api::*;
 pub use balance::Balancer;
--- /dev/null
+++ b/crates/policy/src/rate.rs
@@ -0,0 +1,28 @@
+//! How much comes a second, the latest counting most.
+
+use crate::api::Millis;
+
+/// A rate that forgets.
+pub struct Rate {
+    /// What came a second, as of `at`.
+    pub per_s: f64,
+    at: Millis,
+}
+
+impl Rate {
+    /// Nothing yet.
+    pub fn new() -> Self {
+        Self { per_s: 0.0, at: 0.0 }
+    }
+
+    /// Adds an amount; what came longer ago than `span` counts for little.
+    pub fn add(&mut self, now: Millis, span: Millis, amount: f64) {
+        self.per_s = self.at(now, span) + amount * 1000.0 / span.max(1.0);
+        self.at = now;
+    }
+
+    /// The rate by now.
+    pub fn at(&self, now: Millis, span: Millis) -> f64 {
+        self.per_s * (-(now - self.at).max(0.0) / span.max(1.0)).exp()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/unserved.rs
@@ -0,0 +1,88 @@
+//! What went unserved and may be asked for again: a memory, which decides nothing.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::api::Millis;
+
+/// The most that is kept; beyond it the oldest goes first. At 64 bytes each that is a quarter of a megabyte.
+pub const MOST: usize = 4096;
+
+/// What a repeat has to know of what it repeats.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct First {
+    /// When the client first asked.
+    pub asked: Millis,
+    /// It was within its tenant's share.
+    pub in_share: bool,
+}
+
+/// Requests that went unserved, by what a client's repeat has in common with them.
+#[derive(Default)]
+pub struct Unserved {
+    kept: BTreeMap<u64, (First, Millis)>,
+    /// The same in the order in which they went, with when each is of no more use.
+    order: VecDeque<(Millis, u64)>,
+}
+
+impl Unserved {
+    /// Keeps one until then. One that is like another takes its place: the younger is likelier to come back.
+    pub fn put(&mut self, now: Millis, alike: u64, first: First, until: Millis) {
+        self.kept.insert(alike, (first, until));
+        self.order.push_back((until, alike));
+        while self.order.front().is_some_and(|(until, _)| *until <= now || self.order.len() > MOST) {
+            let Some((until, alike)) = self.order.pop_front() else { break };
+            if self.kept.get(&alike).is_some_and(|(_, of)| *of == until) {
+                self.kept.remove(&alike);
+            }
+        }
+    }
+
+    /// What a request repeats, where it repeats anything. Each explains one repeat: what is like it and comes after is new.
+    pub fn take(&mut self, now: Millis, alike: u64) -> Option<First> {
+        self.kept.remove(&alike).filter(|(_, until)| *until > now).map(|(first, _)| first)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn first(asked: Millis) -> First {
+        First { asked, in_share: true }
+    }
+
+    #[test]
+    fn each_explains_one_repeat_and_only_in_its_time() {
+        let mut unserved = Unserved::default();
+        unserved.put(0.0, 7, first(0.0), 100.0);
+        unserved.put(10.0, 8, first(5.0), 100.0);
+        assert_eq!(unserved.take(50.0, 7), Some(first(0.0)));
+        assert_eq!(unserved.take(50.0, 7), None, "a second one is new");
+        assert_eq!(unserved.take(100.0, 8), None, "its client waits no more");
+    }
+
+    #[test]
+    fn one_put_anew_outlives_the_end_of_the_first() {
+        let mut unserved = Unserved::default();
+        unserved.put(0.0, 7, first(0.0), 10.0);
+        unserved.put(1.0, 7, first(1.0), 50.0);
+        unserved.put(20.0, 8, first(20.0), 60.0);
+        assert_eq!(unserved.take(21.0, 7), Some(first(1.0)));
+    }
+
+    #[test]
+    fn a_flood_stays_within_its_bound() {
+        let mut unserved = Unserved::default();
+        for n in 0..3 * MOST as u64 {
+            unserved.put(0.0, n, first(0.0), 1e9);
+        }
+        assert_eq!((unserved.kept.len(), unserved.order.len()), (MOST, MOST));
+        assert!(unserved.take(0.0, 0).is_none() && unserved.take(0.0, 3 * MOST as u64 - 1).is_some());
+        // Taken ones leave their place in the order behind; that is bounded as well.
+        for n in 0..3 * MOST as u64 {
+            unserved.put(0.0, n, first(0.0), 1e9);
+            unserved.take(0.0, n);
+        }
+        assert!(unserved.kept.is_empty() && unserved.order.len() <= MOST);
+    }
+}
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -14,7 +14,7 @@
 pub const DRAIN_GRACE: f64 = 0.0;
 
 pub fn settings() -> Settings {
-    let class = |aim, worth, effect| Class { aim, worth, late_worth: 0.0, effect };
+    let class = |aim, worth, effect| Class { aim, worth, late_worth: 0.0, patience: f64::INFINITY, effect };
     Settings {
         number: 0,
         nodes: 2,
@@ -24,6 +24,7 @@
             class(100.0, 10.0, Effect::Unsafe),
         ],
         tenants: Vec::new(),
+        by_work: false,
         over_share_worth: 0.2,
         goal: Goal { worth: 0.8, worst_class: 0.2, worst_tenant: 0.0 },
         limits: Limits {
@@ -108,7 +109,7 @@
         let id = RequestId(self.next);
         self.next += 1;
         let deadline = self.now + left;
-        (id, self.event(Event::Request { id, class, tenant, deadline }))
+        (id, self.event(Event::Request { id, class, tenant, deadline, alike: None, work: None }))
     }
 
     /// Ends the request's newest attempt.
--- a/crates/policy/tests/properties.rs
+++ b/crates/policy/tests/properties.rs
@@ -132,7 +132,14 @@
                 let (id, deadline) = (RequestId(next), day.now + time);
                 next += 1;
                 day.open.insert(id, (deadline, 0));
-                day.event(Event::Request { id, class: *class, tenant: None, deadline });
+                day.event(Event::Request {
+                    id,
+                    class: *class,
+                    tenant: None,
+                    deadline,
+                    alike: None,
+                    work: None,
+                });
             }
             Step::End(i, outcome) => {
                 if !day.out.is_empty() {
--- /dev/null
+++ b/crates/policy/tests/repeats.rs
@@ -0,0 +1,148 @@
+//! Clients that come back: with most requests refused, more than half of what comes is repeats.
+
+mod common;
+use common::*;
+use glenwood_policy::*;
+
+/// One whose clients wait for `PATIENCE`, with one server.
+fn node(tenants: Vec<Tenant>) -> Node {
+    let mut settings = Settings { tenants, ..settings() };
+    settings.classes.iter_mut().for_each(|c| c.patience = PATIENCE);
+    Node::fleet(settings, 1)
+}
+
+fn ask(node: &mut Node, id: u64, tenant: Option<usize>, alike: u64) -> Vec<Action> {
+    let (id, deadline) = (RequestId(1_000_000 + id), node.now + PATIENCE);
+    node.event(Event::Request { id, class: SAFE, tenant, deadline, alike: Some(alike), work: None })
+}
+
+fn timeout(actions: &[Action]) -> Option<f64> {
+    actions.iter().find_map(|a| if let Action::Send { timeout, .. } = a { *timeout } else { None })
+}
+
+/// Has the one server full with requests that are not alike, and one more refused; gives those that are out.
+fn refuse(node: &mut Node, alike: u64) -> Vec<RequestId> {
+    let mut out = Vec::new();
+    loop {
+        let (id, actions) = node.ask(SAFE);
+        if sent_to(&actions).is_none() {
+            break;
+        }
+        out.push(id);
+    }
+    assert!(sent_to(&ask(node, alike, None, alike)).is_none(), "no room");
+    let actions = node.wait(30.0);
+    assert!(refused(&actions, RequestId(1_000_000 + alike)), "{actions:?}");
+    out
+}
+
+/// A repeat is of use until the aim of its first asking ends, whatever its own deadline says: taken for a new one it was
+/// served too late, and the work was lost.
+#[test]
+fn a_repeat_is_served_by_the_time_of_its_first_asking() {
+    let mut node = node(Vec::new());
+    let asked = node.now;
+    for id in refuse(&mut node, 7) {
+        node.end(id, Outcome::Done);
+    }
+    let after = node.now - asked;
+    let aim = settings().classes[SAFE].aim;
+    let back = timeout(&ask(&mut node, 100, None, 7)).expect("it is sent");
+    assert!(
+        (back + after - (aim - settings().tick)).abs() < 0.01,
+        "{back} ms, {after} ms after its first asking"
+    );
+    let other = timeout(&ask(&mut node, 101, None, 8)).expect("it is sent");
+    assert!((other - (aim - settings().tick)).abs() < 0.01, "one like no other is new: {other}");
+}
+
+/// Sent with less time than is usual for its class it would most likely be cut off.
+#[test]
+fn a_repeat_that_has_too_little_time_left_is_refused_at_once() {
+    let mut node = node(Vec::new());
+    for _ in 0..20 {
+        node.serve(SAFE, 40.0);
+    }
+    let out = refuse(&mut node, 7);
+    for id in out {
+        node.end(id, Outcome::Done);
+    }
+    node.now += 40.0;
+    let actions = ask(&mut node, 100, None, 7);
+    assert!(refused(&actions, RequestId(1_000_100)) && sent_to(&actions).is_none(), "{actions:?}");
+    assert!(sent_to(&ask(&mut node, 101, None, 8)).is_some(), "a new one is sent");
+}
+
+/// Many clients may ask for the same thing: what was served is not asked for again by whoever had it, and one refusal
+/// explains one repeat.
+#[test]
+fn what_was_served_or_has_come_back_makes_no_other_old() {
+    let mut node = node(Vec::new());
+    let full = settings().classes[SAFE].aim - settings().tick;
+    ask(&mut node, 1, None, 7);
+    node.now += 50.0;
+    let (id, attempt, server) = (RequestId(1_000_001), 0, ServerId(0));
+    node.event(Event::Ended { id, attempt, server, outcome: Outcome::Done, took: 50.0, finished: true });
+    assert_eq!(timeout(&ask(&mut node, 2, None, 7)), Some(full));
+    node.event(Event::ClientGone(RequestId(1_000_002)));
+    node.now += 10.0;
+    assert_eq!(timeout(&ask(&mut node, 3, None, 7)), Some(full - 10.0), "its client left, and came back");
+    assert_eq!(timeout(&ask(&mut node, 4, None, 7)), Some(full), "nobody else had left");
+}
+
+/// A share is of what is asked for, not of how often: refusals would use it up.
+#[test]
+fn repeats_take_nothing_more_of_their_tenants_share() {
+    let second_within = |alike: [u64; 2]| {
+        // Two a second from two nodes: one within a second here.
+        let mut node = node(vec![Tenant { quota_per_s: 4.0 }, Tenant { quota_per_s: 4.0 }]);
+        let out = refuse(&mut node, 1);
+        for (n, alike) in alike.into_iter().enumerate() {
+            ask(&mut node, 10 + n as u64, Some(0), alike);
+            let gone = RequestId(1_000_010 + n as u64);
+            node.event(Event::ClientGone(gone));
+        }
+        // Two are held: one of tenant 0, whose share is used up or not, and an older one that is beyond its share.
+        for n in 0..4 {
+            ask(&mut node, 20 + n, Some(1), 100 + n);
+        }
+        let (mine, last) = (RequestId(1_000_030), RequestId(1_000_023));
+        ask(&mut node, 30, Some(0), 50);
+        node.now += 1.0;
+        let sent = sends(&node.end(out[0], Outcome::Done));
+        assert!(sent.contains(&mine) || !sent.contains(&last), "{sent:?}");
+        sent.contains(&mine)
+    };
+    assert!(second_within([5, 5]), "one request that came twice leaves room for another");
+    assert!(!second_within([5, 6]), "two requests use the share up");
+}
+
+/// Where worth goes by work, a class that holds its place for long without working is not worth less for it.
+#[test]
+fn worth_by_work_does_not_go_by_the_time_that_a_class_takes() {
+    let first = |by_work| {
+        let mut settings = Settings { by_work, ..settings() };
+        settings.goal.worst_class = 0.0;
+        settings.classes[KEYED].aim = 400.0;
+        settings.classes[KEYED].worth = 2.0;
+        let mut node = Node::fleet(settings, 1);
+        for _ in 0..20 {
+            node.serve(SAFE, 10.0);
+            node.serve(KEYED, 60.0);
+        }
+        let mut out = Vec::new();
+        loop {
+            let (id, actions) = node.ask(SAFE);
+            if sent_to(&actions).is_none() {
+                break;
+            }
+            out.push(id);
+        }
+        let (keyed, _) = node.ask(KEYED);
+        node.ask(SAFE);
+        node.now += 2.0;
+        sends(&node.end(out[0], Outcome::Done)).first() == Some(&keyed)
+    };
+    assert!(first(true), "twice the worth for each unit of work");
+    assert!(!first(false), "six times the time for twice the worth");
+}
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -280,10 +280,12 @@
     // Clients may give up a try of a safe request for another: what its deadline tells is that of the try.
     assert_eq!(timeout(SAFE, PATIENCE - 60.0), timeout(SAFE, PATIENCE));
 
-    // A repeat is held no longer than an answer may still be of use.
+    // A repeat is held no longer than an answer may still be of use, and not at all where there is no time for one.
     let mut node = Node::fleet(settings(), 1);
     while sent_to(&node.ask(UNSAFE).1).is_some() {}
-    let (old, _) = node.ask_with(UNSAFE, None, PATIENCE - 85.0);
+    let (older, at_once) = node.ask_with(UNSAFE, None, PATIENCE - 85.0);
+    assert!(refused(&at_once, older), "{at_once:?}");
+    let (old, _) = node.ask_with(UNSAFE, None, PATIENCE - 68.0);
     let (fresh, _) = node.ask_with(UNSAFE, None, PATIENCE);
     let actions = node.wait(12.0);
     assert!(refused(&actions, old) && !refused(&actions, fresh), "{actions:?}");
@@ -478,7 +480,14 @@
 fn a_request_id_handed_in_again_changes_nothing() {
     let mut node = Node::fleet(settings(), 0);
     let (id, _) = node.ask(UNSAFE);
-    let again = Event::Request { id, class: UNSAFE, tenant: None, deadline: node.now + PATIENCE };
+    let again = Event::Request {
+        id,
+        class: UNSAFE,
+        tenant: None,
+        deadline: node.now + PATIENCE,
+        alike: None,
+        work: None,
+    };
     let actions = node.event(again.clone());
     assert!(!failed(&actions, id) && !refused(&actions, id), "{actions:?}");
     node.event(Event::List { entries: vec![entry(0, 1.0)], saved: false });
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,7 +10,7 @@
 
 use fields::{text, whole, FieldError, Fields};
 
-fn class(value: &Value) -> Result<(String, Class, Millis), FieldError> {
+fn class(value: &Value) -> Result<(String, Class), FieldError> {
     let f = Fields::of(value, "Classes")?;
     let group = match f.get("DedupScope").and_then(Value::as_str) {
         Some("all") => Group::All,
@@ -29,9 +29,10 @@
         aim: f.number("Slo")?,
         worth: f.number_or("Value", 1.0)?,
         late_worth: f.number_or("LateValue", 0.0)?,
+        patience: f.number_or("Deadline", f64::INFINITY)?,
         effect,
     };
-    Ok((text(f.need("Name")?, "Name")?.to_string(), class, f.number_or("Deadline", f64::INFINITY)?))
+    Ok((text(f.need("Name")?, "Name")?.to_string(), class))
 }
 
 /// What the settings object says: the module's part, and what only a node on sockets needs.
@@ -58,8 +59,8 @@
 pub fn told(value: &Value) -> Result<Told, FieldError> {
     let f = Fields::of(value, "Options")?;
     let classes = f.list("Classes")?.iter().map(class).collect::<Result<Vec<_>, _>>()?;
-    let longest_deadline = classes.iter().map(|c| c.2).fold(0.0, f64::max);
-    let (class_names, classes) = classes.into_iter().map(|(name, class, _)| (name, class)).unzip();
+    let longest_deadline = classes.iter().map(|c| c.1.patience).fold(0.0, f64::max);
+    let (class_names, classes) = classes.into_iter().unzip();
     let mut tenants = Vec::new();
     let mut tenant_names = Vec::new();
     for value in f.list("Customers")? {
@@ -76,6 +77,11 @@
         nodes: whole(f.need("PeersTotal")?, "PeersTotal")? as usize,
         classes,
         tenants,
+        by_work: match f.get("CountedBy").and_then(Value::as_str) {
+            Some("work") => true,
+            Some("request") | None => false,
+            Some(other) => return Err(format!("CountedBy: {other} is unknown")),
+        },
         over_share_worth: f.number_or("OverShareWorth", 1.0)?,
         goal: Goal {
             worth: g.number_or("Whole", 1.0)? + g.number_or("WorstWindow", 0.0)?,
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -2,6 +2,7 @@
 //! of JSON. It decides nothing.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
 use glenwood_policy::*;
@@ -42,6 +43,16 @@
     })
 }
 
+/// What a request and a client's repeat of it have in common: class, tenant, key and hint are the same in each try.
+fn alike(submit: &[Value], hint: f64) -> u64 {
+    let mut hash = DefaultHasher::new();
+    for part in submit.get(2..5).into_iter().flatten() {
+        part.as_str().hash(&mut hash);
+    }
+    hint.to_bits().hash(&mut hash);
+    hash.finish()
+}
+
 /// The place of a name in a list; settings and zones are short.
 fn index(names: &[String], value: &Value) -> Option<usize> {
     value.as_str().and_then(|name| names.iter().position(|n| n == name))
@@ -153,6 +164,8 @@
         let at = |i: usize| input.get(i).unwrap_or(&Value::Null);
         let id = || whole(at(1), "Corr").map(RequestId);
         let attempt = || whole(at(2), "Try").map(|n| n as usize);
+        // The mark 1 says that the hint means something.
+        let hint = at(6).as_f64().filter(|_| at(7).as_u64().unwrap_or(0) & 1 == 1);
         Ok(Some(match text(at(0), "message")? {
             "TOPOLOGY" => {
                 let form = text(at(2), "Form")?;
@@ -173,6 +186,8 @@
                 class: index(&self.classes, at(2)).ok_or_else(|| "Band: unknown".to_string())?,
                 tenant: index(&self.tenants, at(3)),
                 deadline: number(at(5), "DropDead")?,
+                alike: hint.map(|hint| alike(input, hint)),
+                work: hint,
             },
             "STREAMING" => Event::Streaming { id: id()?, attempt: attempt()? },
             "RESPONSE" => Event::Ended {
--- a/crates/testkit/tests/storm.rs
+++ b/crates/testkit/tests/storm.rs
@@ -24,12 +24,13 @@
 const GRACE: f64 = 500.0;
 
 fn settings() -> Settings {
-    let class = |effect| Class { aim: 100.0, worth: 1.0, late_worth: 0.2, effect };
+    let class = |effect| Class { aim: 100.0, worth: 1.0, late_worth: 0.2, patience: f64::INFINITY, effect };
     Settings {
         number: 0,
         nodes: 1,
         classes: vec![class(Effect::Safe), class(Effect::Unsafe)],
         tenants: Vec::new(),
+        by_work: false,
         over_share_worth: 1.0,
         goal: Goal { worth: 1.0, ..Goal::default() },
         limits: Limits {
@@ -187,7 +188,17 @@
             let id = Token::new(&format!("t{}", self.number)).expect("good");
             let class = (self.number % 2) as usize;
             let (began, deadline) = (self.next, self.next + WAIT);
-            let incoming = Incoming { class, tenant: None, key: None, id, began, deadline, payload: () };
+            let incoming = Incoming {
+                class,
+                tenant: None,
+                key: None,
+                id,
+                began,
+                deadline,
+                alike: None,
+                work: None,
+                payload: (),
+            };
             self.counts.asked += 1;
             self.core.take(now, incoming).expect("there is room");
             self.next += 10.0;
