--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -32,9 +32,8 @@
 /// In how many steps the subset follows the warmth of its servers.
 const WARMTH_STEPS: f64 = 32.0;
 
-/// Part of its aim that an answer should take on average: what is more makes too many late. The second where a late
-/// answer is worth nothing: it is cut off then, and all work that went into it is lost.
-const PACE_TARGET: (f64, f64) = (0.35, 0.25);
+/// Part of its aim that an answer should take on average: what is more makes too many late.
+const PACE_TARGET: f64 = 0.35;
 /// What an answer that came too late, or never, counts as, in parts of its aim.
 const LATE: f64 = 1.25;
 /// What an attempt that was cut off at its aim counts as: it would have taken about as long again.
@@ -1033,13 +1032,12 @@
         let (now, rules, done) = (self.now, &self.set.rules, outcome == Outcome::Done);
         let (first, least_limit) = (self.first_limit(), self.least_limit());
         let late = self.set.classes[class].late_worth > 0.0;
-        let target = if late { PACE_TARGET.0 } else { PACE_TARGET.1 };
         let part = match outcome {
             Outcome::Done => (took / self.set.classes[class].aim).min(LATE),
             // Cut off when it was of no more use. One that had little time says little, and nothing good.
             Outcome::TimedOut if !late => {
                 let part = CUT * (took / self.set.classes[class].aim).min(1.0).powi(2);
-                part.max(target.next_up())
+                part.max(PACE_TARGET.next_up())
             }
             Outcome::TimedOut | Outcome::Full => LATE,
             _ => return,
@@ -1058,10 +1056,10 @@
         }
         // A fleet that slows down at once is seen by all its answers long before each limit has heard enough
         // of its own. Where half as many are late as come well in time, there is too much out.
-        let step = LIMIT_GAIN * (LATE - target) / (self.subset.len().max(1) as f64).sqrt();
+        let step = LIMIT_GAIN * (LATE - PACE_TARGET) / (self.subset.len().max(1) as f64).sqrt();
         if part >= 1.0 {
             self.fleet = (self.fleet * (-2.0 * step).exp()).max(FLEET_LEAST);
-        } else if part <= target {
+        } else if part <= PACE_TARGET {
             self.fleet = (self.fleet * step.exp()).min(FLEET_RESERVE);
         }
         let Some(s) = self.servers.get_mut(&id) else { return };
@@ -1080,15 +1078,15 @@
             // A limit that was never reached protects nobody when the fleet slows down at once.
             s.limit *= 1.0 - LIMIT_FADE;
         }
-        if s.limit < first && part <= target && at_limit {
+        if s.limit < first && part <= PACE_TARGET && at_limit {
             // Answers are rare below one: without a quick way back a server that was slow for seconds would
             // stay out for minutes. Only to where limits begin: from there on many nodes would crowd it.
-            s.limit *= (LIMIT_GAIN * (LATE - target)).exp();
+            s.limit *= (LIMIT_GAIN * (LATE - PACE_TARGET)).exp();
         } else if at_limit {
             // One attempt at a time that still comes in time is not too much, even where the whole fleet is
             // so slow that it misses the target.
             let least = if part < 1.0 { s.limit.min(1.0) } else { least_limit };
-            s.limit = (s.limit * (LIMIT_GAIN * (target - part)).exp()).max(least);
+            s.limit = (s.limit * (LIMIT_GAIN * (PACE_TARGET - part)).exp()).max(least);
         }
     }
 
