Comments of the module within 110 characters, as its own test asks

Changed: these comments. The test passes; the tests of the policy, node (service, registrations, msgpack, node), adapter, clippy, docs and format had passed on the same code.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -833,9 +833,9 @@
         let size: f64 = self.rotated().map(|s| s.size * s.warmth(self.now, &self.set.rules)).sum();
         self.arrivals.add(self.now, self.set.rules.fall_window, 1.0 / size.max(1.0));
         let tenant = tenant.filter(|t| *t < self.set.tenants.len());
-        // A client that comes back asks for the same thing: it is served by the time of its first asking or not at all,
-        // and counts once in its tenant's share and in what was asked for. Where more is refused than served, to take
-        // repeats for new ones spends most of the work on what is too late, and shares on refusals.
+        // A client that comes back asks for the same thing: it is served by the time of its first asking or
+        // not at all, and counts once in its tenant's share and in what was asked for. Where more is
+        // refused than served, to take repeats for new ones spends most of the work on what is too late.
         let first = alike.and_then(|alike| self.unserved.take(self.now, alike));
         let in_share = match &first {
             Some(first) => first.in_share,
@@ -1144,8 +1144,8 @@
             let class = request.class;
             // As long as an answer may still come in time.
             let spare = self.useful_until(request) - self.classes[class].mean;
-            // Sent with less, it would most likely be cut off, and its work be lost. A new one is always let try, or a
-            // class that has once become slow would never be seen to recover.
+            // Sent with less, it would most likely be cut off, and its work be lost. A new one is always let
+            // try, or a class that has once become slow would never be seen to recover.
             let hopeless = self.set.classes[class].late_worth == 0.0 && self.now > spare.max(request.asked);
             let end = if hopeless {
                 f64::NEG_INFINITY
