A client's estimate is believed within bounds, and a missing one counts as the usual

Seen on a second reading: where worth counts by work, X-Estimate went into the tallies of what was asked for and served as it came. One of 1e308 outweighed all else for as long as anything is remembered; without any, as over MessagePack-RPC, a request counted as 1 beside thousands of microseconds.

Change: balance.rs, work_of: at most the class's patience or eight aims; without a guess the class's mean. The unit is milliseconds in the whole interface.

--- a/crates/core/src/incoming.rs
+++ b/crates/core/src/incoming.rs
@@ -70,8 +70,8 @@
     pub deadline: Millis,
     /// What a client's repeat of it has in common with it; `None` where that can't be told.
     pub alike: Option<u64>,
-    /// The client's guess at its work, in any unit that is the same for all.
-    pub work: Option<f64>,
+    /// The client's guess at its work, as time on a standard core.
+    pub work: Option<Millis>,
     /// What the backends send; opaque here, and cloned for each attempt.
     pub payload: P,
 }
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -323,8 +323,8 @@
         /// What a client's repeat has in common with what it repeats, and hardly any other request: a number made of
         /// its key, or of what it asks for and for whom. `None`: repeats can't be told.
         alike: Option<u64>,
-        /// A guess at its work, in any unit that is the same for all; `None` where there is none.
-        work: Option<f64>,
+        /// The client's guess at its work, as time on a standard core; `None` where it gives none.
+        work: Option<Millis>,
     },
     /// A streamed answer has begun; the client is bound to this attempt.
     Streaming {
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -69,6 +69,9 @@
 /// Part of its aim that the client of a refused request should stay away.
 const STAY_AWAY: f64 = 0.25;
 
+/// The most work that a guess is believed, in aims of its class.
+const WORK_MOST: f64 = 8.0;
+
 /// Over which time it is counted who is served how well.
 const MEMORY: Millis = 60_000.0;
 /// How far above the worst served part a class or tenant still counts nearly as the worst.
@@ -197,6 +200,8 @@
     excess: f64,
     /// The most time that a request had left when it came.
     most_left: Millis,
+    /// Mean work, by the clients' guesses.
+    work: Option<f64>,
 }
 
 /// Worth asked for and served.
@@ -300,7 +305,13 @@
         let classes = settings
             .classes
             .iter()
-            .map(|c| ClassStats { mean: c.aim / 4.0, seen: 0, excess: 0.0, most_left: f64::NEG_INFINITY })
+            .map(|c| ClassStats {
+                mean: c.aim / 4.0,
+                seen: 0,
+                excess: 0.0,
+                most_left: f64::NEG_INFINITY,
+                work: None,
+            })
             .collect();
         let care = || Served { asked: Rate::new(), served: Rate::new() };
         let class_served = settings.classes.iter().map(|_| care()).collect();
@@ -351,7 +362,7 @@
             }
             Event::DiscoveryMoved => {}
             Event::Request { id, class, tenant, deadline, alike, work } => {
-                let work = work.filter(|w| self.set.by_work && w.is_finite() && *w > 0.0).unwrap_or(1.0);
+                let work = if self.set.by_work { self.work_of(class, work) } else { 1.0 };
                 self.on_request(id, class, tenant, deadline, alike, work, actions);
             }
             Event::Streaming { id, attempt } => self.on_streaming(id, attempt, actions),
@@ -854,6 +865,20 @@
         self.serve_waiting(actions);
     }
 
+    /// A request's work as it counts: the client's guess, where it gives one that makes sense. None can take
+    /// longer than its client waits: a guess beyond that would weigh for as long as anything is remembered.
+    fn work_of(&mut self, class: usize, guess: Option<f64>) -> f64 {
+        let Some(told) = self.set.classes.get(class) else { return 1.0 };
+        let most = told.patience.min(WORK_MOST * told.aim);
+        let usual = &mut self.classes[class].work;
+        let Some(guess) = guess.filter(|w| w.is_finite() && *w > 0.0) else {
+            return usual.unwrap_or(told.aim / 8.0);
+        };
+        let work = guess.min(most);
+        *usual = Some(usual.map_or(work, |usual| usual + (work - usual) * TIME_GAIN));
+        work
+    }
+
     /// Notes that a request goes unserved, for when its client comes back.
     fn remember(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
