--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -14,7 +14,6 @@
 
 use crate::hub::Hub;
 use crate::list::{self, Update};
-use crate::log;
 use crate::sock::{Io, Sock};
 
 /// The longest line that is taken.
@@ -52,8 +51,7 @@
             format!("unreadable line dropped: {words}")
         }
     };
-    log::line(format!("discovery: {words}"));
-    hub.discovery_failed();
+    hub.discovery_failed(&words);
 }
 
 async fn watch(hub: &Rc<Hub>, service: SocketAddr) -> Result<(), Ended> {
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -16,6 +16,7 @@
 use crate::config::Config;
 use crate::inspect::Stage;
 use crate::list::{Host, Place, Servers, Update};
+use crate::log;
 
 /// How long the node waits for discovery before it serves by the saved list.
 const READY_WITHIN: Duration = Duration::from_millis(2500);
@@ -71,6 +72,8 @@
     version: Cell<Option<u64>>,
     /// Discovery has answered.
     informed: Cell<bool>,
+    /// What was last logged of discovery, if it has not been heard since.
+    discovery_words: RefCell<String>,
     /// When any source of the list was last heard.
     list_heard: Cell<Option<Instant>>,
     counts: Cell<Counts>,
@@ -100,6 +103,7 @@
             merge: config.operator.registrations.as_ref().map(|_| RefCell::default()),
             version: Cell::new(None),
             informed: Cell::new(false),
+            discovery_words: RefCell::default(),
             list_heard: Cell::new(None),
             counts: Cell::default(),
             outside: OnceCell::new(),
@@ -315,13 +319,19 @@
         self.version.set(None);
     }
 
-    /// The call to discovery failed, or its watch ended.
-    pub fn discovery_failed(&self) {
+    /// The call to discovery failed, or its watch ended. The same words again are not logged until it has been heard: an
+    /// agent that is down for hours is asked three times a second.
+    pub fn discovery_failed(&self, words: &str) {
+        if self.discovery_words.borrow().as_str() != words {
+            log::line(format!("discovery: {words}"));
+            *self.discovery_words.borrow_mut() = words.to_string();
+        }
         self.tell(|core, now| core.list_failed(now));
     }
 
     /// The watch stands, with no news.
     pub fn discovery_alive(&self) {
+        self.discovery_words.borrow_mut().clear();
         self.list_heard.set(Some(Instant::now()));
         if !self.informed.replace(true) {
             self.tell(|core, now| core.list_changed(now, Vec::new()));
@@ -330,6 +340,7 @@
 
     /// Discovery has brought a list, or changes.
     pub fn listed(&self, update: Update) {
+        self.discovery_words.borrow_mut().clear();
         self.list_heard.set(Some(Instant::now()));
         self.informed.set(true);
         self.take_list(Source::Discovery, update, false);
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -106,6 +106,11 @@
 }
 
 impl Operator {
+    /// Does the list come from discovery at all?
+    pub fn asks_discovery(&self) -> bool {
+        !self.registrations.as_ref().is_some_and(|r| r.alone)
+    }
+
     /// Reads the file.
     ///
     /// # Errors
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -81,7 +81,7 @@
     }
 
     fn subscribe(&self) {
-        if self.hub.config.operator.registrations.as_ref().is_some_and(|r| r.alone) {
+        if !self.hub.config.operator.asks_discovery() {
             return;
         }
         let call = spawn_local(discovery::follow(self.hub.clone(), self.discovery.get())).abort_handle();
@@ -161,8 +161,7 @@
         hub: hub.clone(),
     });
     hub.start(links.clone(), known);
-    let registered_alone = hub.config.operator.registrations.as_ref().is_some_and(|r| r.alone);
-    if hub.config.told.settings.discovery == Discovery::Pushed && !registered_alone {
+    if hub.config.told.settings.discovery == Discovery::Pushed && hub.config.operator.asks_discovery() {
         spawn_local(watch_agent(links.clone()));
     }
     if let Some(told) = hub.config.operator.registrations.clone() {
--- a/crates/node/tests/peers/mod.rs
+++ b/crates/node/tests/peers/mod.rs
@@ -391,6 +391,11 @@
         self.log.lock().expect("no panic").iter().any(|l| l.contains(words))
     }
 
+    /// How many lines of the log have these words.
+    pub fn log_lines(&self, words: &str) -> usize {
+        self.log.lock().expect("no panic").iter().filter(|l| l.contains(words)).count()
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
--- a/crates/node/tests/service.rs
+++ b/crates/node/tests/service.rs
@@ -75,6 +75,7 @@
     let calls = agent.calls().len();
     until("it is asked again while it is down", || agent.calls().len() >= calls + 4);
     assert_eq!(ask(&node), b"b", "the last list serves");
+    assert!(node.log_lines("discovery:") <= 2, "hours of this must not flood the log");
     agent.tell(3, &at_a, &at_a);
     agent.down(false);
     until("what changed meanwhile counts", || ask(&node) == b"a");
@@ -86,6 +87,39 @@
     until("the agent has moved", || ask(&node) == b"c");
 }
 
+/// What a client asks for again is known, though its id is new: the server is told how long the node waits, which is until
+/// the aim of the first asking ends.
+#[test]
+fn a_clients_repeat_has_only_the_time_that_is_left_of_its_first_asking() {
+    let server = Peer::new(|m| {
+        if m.header("x-txn") == Some("t1") {
+            Say::Nothing
+        } else {
+            Say::This(answer(200, "", "a"))
+        }
+    });
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let mut told = config(registry.address);
+    for class in told["settings"]["Classes"].as_array_mut().expect("classes") {
+        (class["Slo"], class["Deadline"], class["LateValue"]) =
+            (json!(60_000.0), json!(120_000.0), json!(0.0));
+    }
+    let node = Node::ready(&told);
+    let mut first = Client::to(&node);
+    let asked = Instant::now();
+    first.send(&request("look", "t1", 100_000));
+    until("it is out", || server.seen().len() == 1);
+    until("a while has passed", || asked.elapsed() > Duration::from_millis(500));
+    drop(first);
+    until("it is given up", || server.open() == 0);
+    assert_eq!(Client::to(&node).ask(&request("look", "t2", 100_000)).status(), 200);
+    assert_eq!(Client::to(&node).ask(&request("look", "t3", 100_000)).status(), 200);
+    let left =
+        |n: usize| server.seen()[n].header("x-remaining-ms").expect("told").parse::<u64>().expect("a number");
+    assert!(left(1) <= 59_500, "{} ms for a repeat", left(1));
+    assert!(left(2) > left(1), "one that comes after it repeats nothing: {} ms", left(2));
+}
+
 /// A connection that was busy while its server moved does not come back into use: it leads to the old place.
 #[test]
 fn a_connection_that_was_busy_while_its_server_moved_is_not_kept() {
--- a/crates/policy/src/unserved.rs
+++ b/crates/policy/src/unserved.rs
@@ -4,7 +4,7 @@
 
 use crate::api::Millis;
 
-/// The most that is kept; beyond it the oldest goes first. At 64 bytes each that is a quarter of a megabyte.
+/// The most that is kept; beyond it the oldest goes first. By reckoning that is a quarter of a megabyte.
 pub const MOST: usize = 4096;
 
 /// What a repeat has to know of what it repeats.
