--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -282,10 +282,10 @@
 
     // ---- The backend's side ----
 
-    /// Where an attempt is, while its end is still awaited.
-    pub fn server_of(&self, attempt: AttemptId) -> Option<ServerId> {
+    /// Where an attempt is and when it was sent, while its end is still awaited.
+    pub fn attempt(&self, attempt: AttemptId) -> Option<(ServerId, Millis)> {
         let tried = self.requests.get(&attempt.request)?.tries.get(attempt.number)?;
-        (tried.stage == Stage::Out).then_some(tried.server)
+        (tried.stage == Stage::Out).then_some((tried.server, tried.sent))
     }
 
     /// An attempt has ended. Only the first word on each counts.
--- a/crates/glenctl/src/main.rs
+++ b/crates/glenctl/src/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod register;
 mod stand_in;
+mod trace;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -34,6 +35,12 @@
         #[command(subcommand)]
         what: stand_in::What,
     },
+    /// Adds up the traces of a whole fleet's logs, by second and by server
+    Trace {
+        /// The nodes' logs, a file for each; a folder stands for all files in it
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Writes a shell's completions of this program to standard output
     Completions {
         /// For which shell
@@ -62,6 +69,7 @@
         Command::Fleet(arguments) => fleet::run(&arguments),
         Command::Agent(arguments) => glenwood_agent::run(&arguments),
         Command::Register(arguments) => register::run(arguments),
+        Command::Trace { logs } => trace::run(&logs),
         Command::StandIn { what } => stand_in::run(&what),
         Command::Node { operator } => glenwood_node::run(glenwood_node::Arguments { operator }),
     }
--- a/crates/node/src/backend/http1.rs
+++ b/crates/node/src/backend/http1.rs
@@ -318,7 +318,10 @@
         let reused = pooled.is_some();
         let link = match pooled.take() {
             Some(link) => Ok(link),
-            None => timeout_at(end.into(), pool.connect(place)).await.unwrap_or(Err(Outcome::NotSent)),
+            None => {
+                hub.connecting(server);
+                timeout_at(end.into(), pool.connect(place)).await.unwrap_or(Err(Outcome::NotSent))
+            }
         };
         let mut link = match link {
             Ok(link) => link,
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -39,9 +39,4 @@
     pub fn at_unix(&self, unix_ms: Millis) -> Option<Millis> {
         (unix_ms > 0.0).then_some(unix_ms - self.unix_start)
     }
-
-    /// How long the node has run.
-    pub fn up(&self) -> Duration {
-        self.start.elapsed()
-    }
 }
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -4,11 +4,12 @@
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use glenwood_core::{AttemptId, Core, Ended, Final, Incoming, NotTaken, Output};
 use glenwood_list::{Merge, Source};
 use glenwood_policy::{Millis, Outcome, RequestId, ServerId, SettingsError};
+use glenwood_trace::{Answer, Doing, Record};
 use tokio::sync::Notify;
 
 use crate::call::{Call, Reply};
@@ -18,9 +19,6 @@
 use crate::list::{Host, Place, Servers, Update};
 use crate::log;
 
-/// How long the node waits for discovery before it serves by the saved list.
-const READY_WITHIN: Duration = Duration::from_millis(2500);
-
 /// What the hub makes others do. None of these may wait.
 pub trait Outside {
     /// Starts an attempt; [`Hub::attempt_ended`] is owed for it.
@@ -48,6 +46,14 @@
     pub refused: u64,
 }
 
+fn word(answer: &Final<Reply>) -> Answer {
+    match answer {
+        Final::Served(_) => Answer::Served,
+        Final::Refused { .. } => Answer::Refused,
+        Final::Failed | Final::Overdue | Final::Rejected => Answer::Failed,
+    }
+}
+
 /// Where a final answer goes.
 type Waiter = Box<dyn FnOnce(Final<Reply>)>;
 
@@ -139,13 +145,10 @@
         }
     }
 
-    /// Can the node serve? Once discovery has answered, or soon with a saved list.
+    /// Can the node serve? Once discovery has answered, or at once with a saved list: where most of a fleet starts at the
+    /// same time, discovery is the last to answer, and the few others can't carry everyone's clients meanwhile.
     pub fn ready(&self) -> bool {
-        if self.stopping.get().is_some() {
-            return false;
-        }
-        let late = self.clock.up() >= READY_WITHIN;
-        self.informed.get() || (late && !self.servers.borrow().is_empty())
+        self.stopping.get().is_none() && (self.informed.get() || !self.servers.borrow().is_empty())
     }
 
     /// Tells the core something, and moves what comes of it.
@@ -166,6 +169,7 @@
             let Some(output) = output else { break };
             match output {
                 Output::Answer { request, answer } => {
+                    self.trace(|_| Doing::Answer { request: request.0, answer: word(&answer) });
                     self.count(&answer);
                     let waiter = self.waiters.borrow_mut().remove(&request);
                     if let Some(waiter) = waiter {
@@ -173,11 +177,22 @@
                     }
                 }
                 Output::Start { attempt, server, end, payload } => {
+                    self.trace(|name| Doing::Send {
+                        request: attempt.request.0,
+                        attempt: attempt.number,
+                        server: name(server),
+                    });
                     outside.start(attempt, server, self.clock.instant(end), payload);
                 }
                 Output::Abandon(attempt) => outside.abandon(attempt),
-                Output::Subscribe => outside.subscribe(),
-                Output::Probe(server) => outside.probe(server),
+                Output::Subscribe => {
+                    self.trace(|_| Doing::Call);
+                    outside.subscribe();
+                }
+                Output::Probe(server) => {
+                    self.trace(|name| Doing::Probe(name(server)));
+                    outside.probe(server);
+                }
             }
         }
         self.moving.set(false);
@@ -201,6 +216,41 @@
         self.counts.set(counts);
     }
 
+    // ---- Who counts ----
+
+    /// Logs what the node does, where the operator wants that: it is worked out only then. `doing` is handed what names
+    /// a server.
+    fn trace(&self, doing: impl FnOnce(&dyn Fn(ServerId) -> String) -> Doing) {
+        if !self.config.operator.trace {
+            return;
+        }
+        let name = |server: ServerId| {
+            let servers = self.servers.borrow();
+            servers.name(server).map_or_else(|| format!("{:016x}", server.0), str::to_string)
+        };
+        let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
+        log::line(Record { at, doing: doing(&name) }.to_string());
+    }
+
+    fn trace_end(&self, attempt: AttemptId, outcome: Outcome) {
+        if !self.config.operator.trace {
+            return;
+        }
+        let Some((server, sent)) = self.core.borrow().attempt(attempt) else { return };
+        self.trace(|name| Doing::End {
+            request: attempt.request.0,
+            attempt: attempt.number,
+            server: name(server),
+            outcome: format!("{outcome:?}"),
+            took: self.clock.now() - sent,
+        });
+    }
+
+    /// A connection to a server is being opened.
+    pub fn connecting(&self, server: ServerId) {
+        self.trace(|name| Doing::Connect(name(server)));
+    }
+
     // ---- Who inspects ----
 
     /// Final answers so far.
@@ -238,7 +288,9 @@
         incoming: Incoming<Rc<Call>>,
         waiter: impl FnOnce(Final<Reply>) + 'static,
     ) -> Result<RequestId, NotTaken> {
+        let class = incoming.class;
         let id = self.core.borrow_mut().take(self.clock.now(), incoming)?;
+        self.trace(|_| Doing::Ask { request: id.0, class });
         self.waiters.borrow_mut().insert(id, Box::new(waiter));
         self.run();
         Ok(id)
@@ -270,12 +322,13 @@
 
     /// An attempt has ended.
     pub fn attempt_ended(&self, attempt: AttemptId, ended: Ended<Reply>) {
+        let outcome = match &ended {
+            Ended::Served(_) => Outcome::Done,
+            Ended::Without(outcome) | Ended::RunsOn(outcome) => *outcome,
+        };
+        self.trace_end(attempt, outcome);
         if self.merge.is_some() {
-            let outcome = match &ended {
-                Ended::Served(_) => Outcome::Done,
-                Ended::Without(outcome) | Ended::RunsOn(outcome) => *outcome,
-            };
-            let server = self.core.borrow().server_of(attempt);
+            let server = self.core.borrow().attempt(attempt).map(|(server, _)| server);
             let now = self.clock.now();
             server.into_iter().for_each(|server| self.servers.borrow_mut().heard(server, now, outcome));
         }
@@ -326,6 +379,7 @@
             log::line(format!("discovery: {words}"));
             *self.discovery_words.borrow_mut() = words.to_string();
         }
+        self.trace(|_| Doing::CallFailed);
         self.tell(|core, now| core.list_failed(now));
     }
 
@@ -343,6 +397,7 @@
         self.discovery_words.borrow_mut().clear();
         self.list_heard.set(Some(Instant::now()));
         self.informed.set(true);
+        self.trace(|_| Doing::List { whole: update.whole, entries: update.hosts.len() });
         self.take_list(Source::Discovery, update, false);
     }
 
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -80,6 +80,11 @@
         self.known.get(&server).filter(|h| h.state == Listed::Up).map(|h| h.place)
     }
 
+    /// A server's name, where it is known.
+    pub fn name(&self, server: ServerId) -> Option<&str> {
+        self.known.get(&server).map(|known| known.name.as_str())
+    }
+
     /// Notes how an attempt ended: whether its server answers.
     pub fn heard(&mut self, server: ServerId, now: Millis, outcome: Outcome) {
         let Some(known) = self.known.get_mut(&server) else { return };
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -28,6 +28,8 @@
     pub registrations: Option<Registrations>,
     /// The Unix socket at which the node says what it is and does.
     pub inspect: Option<PathBuf>,
+    /// Every call, connection, attempt and answer is a line of the log, for `glenctl trace`.
+    pub trace: bool,
 }
 
 /// How the list follows registrations.
@@ -101,6 +103,7 @@
             server_hosts: Vec::new(),
             registrations: None,
             inspect: None,
+            trace: false,
         }
     }
 }
@@ -137,8 +140,18 @@
             }
             None => None,
         };
+        let trace = match top.table("trace")? {
+            Some(mut f) => {
+                let on = f.switch("on")?;
+                f.end()?;
+                on
+            }
+            None => false,
+        };
         top.end()?;
-        let Some(mut f) = msgpack else { return Ok(Self { registrations, inspect, ..Self::default() }) };
+        let Some(mut f) = msgpack else {
+            return Ok(Self { registrations, inspect, trace, ..Self::default() });
+        };
         let default = Self::default();
         let operator = Self {
             msgpack_listen: f.address("listen")?,
@@ -149,6 +162,7 @@
             server_hosts: f.names("server_hosts")?,
             registrations,
             inspect,
+            trace,
         };
         f.end()?;
         Ok(operator)
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -13,6 +13,8 @@
 
 /// Consecutive failures that make a server an outlier, where a single one proves nothing.
 const OUTLIER_FAILURES: u32 = 3;
+/// Requests turned away in a row after which a server is left alone: it drains, and the list is late.
+const TURNED_AWAY: u32 = 2;
 /// The most of the fleet that time-outs may eject: beyond it, the fault is likelier the work's or the
 /// fleet's.
 const EJECT_AT_MOST: f64 = 0.5;
@@ -50,9 +52,9 @@
 const LIMIT_FADE: f64 = 0.02;
 /// Attempts of all nodes out at a server at first, and the least own limit; below one, it rests between them.
 const LIMITS: (f64, f64) = (8.0, 0.05);
-/// The first of these where it is less than one for each node that shares the server: such limits start low,
-/// as many nodes that each may send at once crowd a server before any has heard of it.
-const SPACED: f64 = 5.0;
+/// From how many sharing nodes on the first of these is less than one for each: as they all may send at once,
+/// they would crowd a server before any has heard of it.
+const CROWD: f64 = 16.0;
 /// How far it may fall: with too little out, the answers that would tell of the recovery are too few.
 const FLEET_LEAST: f64 = 0.25;
 /// How far the fleet's factor may rise above 1, so that a few late answers do not make it act.
@@ -63,6 +65,9 @@
 const STUCK_MOST: f64 = 4.0;
 /// The number of an attempt that runs on is this much higher: far above any limit on attempts.
 const RUNS_ON: usize = 1 << 20;
+/// Time of the one service of lists that each node's call is left, as nobody tells how much it can do. Calls of a
+/// whole fleet at once wait for one another until all are given up, and what is given up is worked off all the same.
+const CALL_SPACE: Millis = 75.0;
 /// Part of its aim that a request may be held at the node: in a burst, and in a lasting overload.
 const HOLD: (f64, f64) = (0.25, 0.1);
 
@@ -146,6 +151,8 @@
     last_took: Millis,
     /// Failures in a row.
     consecutive_failures: u32,
+    /// Times in a row that it turned a request away.
+    turned_away: u32,
     /// When a connection last broke, with nothing served since.
     last_reset: Millis,
     /// Ejections in a row.
@@ -477,6 +484,7 @@
                 last_sent: f64::NEG_INFINITY,
                 last_took: 0.0,
                 consecutive_failures: 0,
+                turned_away: 0,
                 last_reset: f64::NEG_INFINITY,
                 ejections: 0,
                 ejected: None,
@@ -516,10 +524,13 @@
     fn on_list_failed(&mut self) {
         if self.set.discovery == Discovery::Asked {
             let failures = if let Call::Asked(_, failures) = self.call { failures + 1 } else { 1 };
-            // Backoff with jitter, so that nodes cut off together do not come back together; well within the
-            // time after which a node that has not asked counts as told.
-            let span = (self.set.rules.ask_within / 40.0) * f64::from(1u32 << failures.min(4));
-            self.call = Call::AskAt(self.now + span * (0.5 + 0.5 * self.random()), failures);
+            // Backoff with jitter, so that nodes cut off together do not come back together, and with a span
+            // that is as much longer as there are more nodes to ask the one service; well within the time
+            // after which a node that has not asked counts as told.
+            let (fleet, within) = (self.set.nodes as f64 * CALL_SPACE, self.set.rules.ask_within);
+            let most = (within * 0.4).max(fleet).min(within * 0.75);
+            let span = (within / 20.0 * f64::from(1u32 << (failures.min(8) - 1))).max(fleet).min(most);
+            self.call = Call::AskAt(self.now + span * self.random(), failures);
         }
     }
 
@@ -546,14 +557,11 @@
         (self.set.nodes * self.subset_size(up)) as f64 / up as f64
     }
 
-    /// The concurrency limit that a server begins with.
+    /// The concurrency limit that a server begins with. Below one only for more nodes than a server bears: one
+    /// that sees little of a server would rest from it though nobody else sends, and refuse what an idle fleet
+    /// could serve.
     fn first_limit(&self) -> f64 {
-        let sharing = self.sharing().max(1.0);
-        if sharing <= LIMITS.0 {
-            LIMITS.0 / sharing
-        } else {
-            SPACED / sharing
-        }
+        (LIMITS.0 / self.sharing()).max((CROWD / self.sharing()).min(1.0))
     }
 
     /// The least that a server's limit can fall to.
@@ -793,12 +801,19 @@
         let Some(server) = self.servers.get_mut(&id) else { return };
         match outcome {
             Outcome::Done => {
-                (server.consecutive_failures, server.ejections) = (0, 0);
+                (server.consecutive_failures, server.ejections, server.turned_away) = (0, 0, 0);
                 server.last_reset = f64::NEG_INFINITY;
             }
             // What a client sends says nothing of the server that turns it down, nor does a dead connection.
-            Outcome::Cancelled | Outcome::NotSent | Outcome::Full | Outcome::Rejected | Outcome::Unheard => {}
+            Outcome::Cancelled | Outcome::NotSent | Outcome::Rejected | Outcome::Unheard => {}
             Outcome::ConnectFailed => self.suspect(id, outcome, took),
+            // One that drains, or is full with what others sent, costs a turn and an attempt each time.
+            Outcome::Full => {
+                server.turned_away += 1;
+                if server.turned_away >= TURNED_AWAY {
+                    self.eject(id, false);
+                }
+            }
             // Servers close on what they can't read, and break off single answers. To take each for a crash
             // would put the whole fleet on cold budgets. Several that break together are another matter.
             Outcome::TimedOut | Outcome::Error | Outcome::Reset => {
@@ -1082,7 +1097,7 @@
         // A fleet that slows down at once is seen by all its answers long before each limit has heard enough
         // of its own. Where half as many are late as come well in time, there is too much out.
         let step = LIMIT_GAIN * (LATE - PACE_TARGET) / (self.subset.len().max(1) as f64).sqrt();
-        if part >= 1.0 {
+        if part >= 1.0 && outcome != Outcome::Full {
             self.fleet = (self.fleet * (-2.0 * step).exp()).max(FLEET_LEAST);
         } else if part <= PACE_TARGET {
             self.fleet = (self.fleet * step.exp()).min(FLEET_RESERVE);
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -224,7 +224,7 @@
 /// down was crowded until it choked, and its neighbours after it.
 #[test]
 fn a_server_that_slows_down_rests_where_many_nodes_share_it() {
-    let mut node = Node::fleet(Settings { nodes: 300, ..settings() }, 60);
+    let mut node = Node::fleet(Settings { nodes: 1000, ..settings() }, 60);
     let mut ask = |slow: Option<u64>| {
         node.wait(60.0);
         let (id, mut actions) = node.ask(SAFE);
@@ -580,7 +580,7 @@
 /// a server bears.
 #[test]
 fn quick_answers_raise_a_shared_limit_slowly_beyond_its_start() {
-    let mut node = Node::fleet(Settings { nodes: 1000, ..settings() }, 60);
+    let mut node = Node::fleet(Settings { nodes: 3000, ..settings() }, 60);
     let start = node.now;
     let served = (0..30).filter(|_| node.serve_held(SAFE, 5.0).is_some()).count();
     let each = (node.now - start) / served as f64;
--- a/crates/testkit/src/node.rs
+++ b/crates/testkit/src/node.rs
@@ -116,18 +116,21 @@
     /// # Panics
     /// Where it does not.
     pub fn wait_ready(&self) {
+        until("the node is ready", || self.says_ready());
+    }
+
+    /// Asks it once whether it is ready.
+    pub fn says_ready(&self) -> bool {
         let ask = b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-        until("the node is ready", || {
-            crate::wait("an answer", async {
-                use tokio::io::{AsyncWriteExt, BufReader};
-                let Ok(mut stream) = tokio::net::TcpStream::connect(self.address).await else { return false };
-                if stream.write_all(ask).await.is_err() {
-                    return false;
-                }
-                let answer = crate::http::read(&mut BufReader::new(stream)).await;
-                matches!(answer, Ok(Some(answer)) if answer.status() == 200)
-            })
-        });
+        crate::wait("an answer", async {
+            use tokio::io::{AsyncWriteExt, BufReader};
+            let Ok(mut stream) = tokio::net::TcpStream::connect(self.address).await else { return false };
+            if stream.write_all(ask).await.is_err() {
+                return false;
+            }
+            let answer = crate::http::read(&mut BufReader::new(stream)).await;
+            matches!(answer, Ok(Some(answer)) if answer.status() == 200)
+        })
     }
 
     /// What it says of itself at its socket; `None` where nobody answers there.
