--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -14,7 +14,7 @@
 
 /// Consecutive failures that make a server an outlier, where a single one proves nothing.
 const OUTLIER_FAILURES: u32 = 3;
-/// Requests turned away in a row after which a server is left alone: it drains, and the list is late.
+/// The same of requests turned away: it drains, and the list is late.
 const TURNED_AWAY: u32 = 2;
 /// The most of the fleet that time-outs may eject: beyond it, the fault is likelier the work's or the
 /// fleet's.
@@ -66,11 +66,16 @@
 const STUCK_MOST: f64 = 4.0;
 /// The number of an attempt that runs on is this much higher: far above any limit on attempts.
 const RUNS_ON: usize = 1 << 20;
-/// Time of the one service of lists that each node's call is left, as nobody tells how much it can do. Calls of a
-/// whole fleet at once wait for one another until all are given up, and what is given up is worked off all the same.
+/// Time of the one service of lists that is left for each node's call. Calls that wait in vain for one
+/// another are worked off all the same.
 const CALL_SPACE: Millis = 75.0;
 /// Part of its aim that a request may be held at the node: in a burst, and in a lasting overload.
 const HOLD: (f64, f64) = (0.25, 0.1);
+/// From how many servers on the last place is left to the best classes, from which part of the best gain and
+/// of what is asked for a class is one of them.
+const RESERVE_FROM: usize = 4;
+const LESSER: f64 = 0.5;
+const RARE: f64 = 0.02;
 
 /// Part of its aim that the client of a refused request should stay away.
 const STAY_AWAY: f64 = 0.25;
@@ -152,8 +157,6 @@
     last_took: Millis,
     /// Failures in a row.
     consecutive_failures: u32,
-    /// Times in a row that it turned a request away.
-    turned_away: u32,
     /// When a connection last broke, with nothing served since.
     last_reset: Millis,
     /// Ejections in a row.
@@ -475,7 +478,6 @@
                 last_sent: f64::NEG_INFINITY,
                 last_took: 0.0,
                 consecutive_failures: 0,
-                turned_away: 0,
                 last_reset: f64::NEG_INFINITY,
                 ejections: 0,
                 ejected: None,
@@ -552,9 +554,8 @@
         (self.set.nodes * self.subset_size(up)) as f64 / up as f64
     }
 
-    /// The concurrency limit that a server begins with. Below one only for more nodes than a server bears: one
-    /// that sees little of a server would rest from it though nobody else sends, and refuse what an idle fleet
-    /// could serve.
+    /// The concurrency limit that a server begins with. Below one only for more nodes than a server bears: a
+    /// node would rest from servers to which nobody sends, and refuse what an idle fleet could serve.
     fn first_limit(&self) -> f64 {
         (LIMITS.0 / self.sharing()).max((CROWD / self.sharing()).min(1.0))
     }
@@ -777,22 +778,17 @@
         let Some(server) = self.servers.get_mut(&id) else { return };
         match outcome {
             Outcome::Done => {
-                (server.consecutive_failures, server.ejections, server.turned_away) = (0, 0, 0);
+                (server.consecutive_failures, server.ejections) = (0, 0);
                 server.last_reset = f64::NEG_INFINITY;
             }
             // What a client sends says nothing of the server that turns it down, nor does a dead connection.
             Outcome::Cancelled | Outcome::NotSent | Outcome::Rejected | Outcome::Unheard => {}
             Outcome::ConnectFailed => self.suspect(id, outcome, took),
-            // One that drains, or is full with what others sent, costs a turn and an attempt each time.
-            Outcome::Full => {
-                server.turned_away += 1;
-                if server.turned_away >= TURNED_AWAY {
-                    self.eject(id, false);
-                }
-            }
             // Servers close on what they can't read, and break off single answers. To take each for a crash
             // would put the whole fleet on cold budgets. Several that break together are another matter.
-            Outcome::TimedOut | Outcome::Error | Outcome::Reset => {
+            // One that drains, or is full with what others sent, costs a turn and an attempt each time.
+            Outcome::TimedOut | Outcome::Error | Outcome::Reset | Outcome::Full => {
+                let most = if outcome == Outcome::Full { TURNED_AWAY } else { OUTLIER_FAILURES };
                 let broke = outcome == Outcome::Reset;
                 let together = broke && self.now - server.last_reset <= self.set.limits.connect_timeout;
                 if broke {
@@ -801,7 +797,7 @@
                 server.consecutive_failures += 1;
                 if together {
                     self.suspect(id, outcome, took);
-                } else if server.consecutive_failures >= OUTLIER_FAILURES {
+                } else if server.consecutive_failures >= most {
                     server.consecutive_failures = 0;
                     self.eject(id, false);
                 }
@@ -1181,14 +1177,44 @@
         }
         // No turn is taken but for a request that may go: a held one that no ready server may have would else
         // use up the turns of all the others.
-        while let Some(server) = self.next_turn(|b, s| b.ready(s) && held.iter().any(|id| b.may_go(*id, s))) {
-            let Some(place) = self.best_held(&held, server) else { break };
-            self.send(held.swap_remove(place), server, actions);
+        // The last place is left to the classes that gain most. A node that sends little is full for moments
+        // all the time: who comes then and can't be held for long would be refused for one that could.
+        let lesser = if held.is_empty() { Vec::new() } else { self.lesser() };
+        while !held.is_empty() {
+            let last = self.subset.len() >= RESERVE_FROM && self.places() <= 1;
+            let goes = |r: &Request| !last || !r.attempts.is_empty() || !lesser[r.class];
+            let goes = |id: &&RequestId| self.requests.get(id).is_some_and(goes);
+            let eager: Vec<RequestId> = held.iter().filter(goes).copied().collect();
+            let turn = self.next_turn(|b, s| b.ready(s) && eager.iter().any(|id| b.may_go(*id, s)));
+            let Some(server) = turn else { break };
+            let Some(place) = self.best_held(&eager, server) else { break };
+            held.retain(|id| *id != eager[place]);
+            self.send(eager[place], server, actions);
         }
         self.held_since = if held.is_empty() { None } else { self.held_since.or(Some(self.now)) };
         self.waiting = held;
     }
 
+    /// Which classes add much less to the goal, for the time they take, than the best one does.
+    fn lesser(&self) -> Vec<bool> {
+        let asked: Vec<f64> = self.class_served.iter().map(|c| c.asked.at(self.now, MEMORY)).collect();
+        let sum: f64 = asked.iter().sum();
+        let mut gains = self.goal_weights(&self.class_served, self.set.goal.worst_class);
+        for (n, gain) in gains.iter_mut().enumerate() {
+            let worth = if asked[n] > RARE * sum { self.set.classes[n].worth } else { 0.0 };
+            *gain = worth * (*gain + self.set.goal.worth / sum) / self.classes[n].mean.max(f64::MIN_POSITIVE);
+        }
+        let best = gains.iter().copied().fold(0.0, f64::max);
+        gains.into_iter().map(|gain| gain < LESSER * best).collect()
+    }
+
+    /// How many more could be sent now.
+    fn places(&self) -> usize {
+        let least = self.least_limit();
+        let free = |s: &Server| (s.allowed(self.fleet, least) as usize).saturating_sub(s.out.len()).max(1);
+        self.rotated().filter(|s| self.ready(s)).map(free).sum()
+    }
+
     /// Which held request this server's turn goes to: the one that adds most to the goal for the time that
     /// its class takes there; of equal ones the newest, as the oldest has lost the time of its hold.
     fn best_held(&self, held: &[RequestId], server: ServerId) -> Option<usize> {
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -667,3 +667,70 @@
     node.event(Event::Left { id: waiting, attempt: 0, server });
     assert!(sent_to(&node.ask(SAFE).1).is_none());
 }
+
+/// One of eight nodes, with one place at each of eight servers, that has seen some of every class.
+fn one_place_at_each() -> Node {
+    let mut node = Node::fleet(Settings { nodes: 8, ..settings() }, 8);
+    for class in [SAFE, KEYED, UNSAFE, SAFE, KEYED, UNSAFE] {
+        node.serve_held(class, 10.0);
+        node.wait(20.0);
+    }
+    node
+}
+
+/// Guards the days at size: with five places at a node a fifth of the questions, which can be held least and gain most, was
+/// refused for requests that could have waited.
+#[test]
+fn the_last_place_of_a_node_is_left_to_the_class_that_gains_most() {
+    let sent = |node: &mut Node, class: usize| sent_to(&node.ask(class).1).is_some();
+    let mut node = one_place_at_each();
+    let mut places = 0;
+    while sent(&mut node, SAFE) {
+        places += 1;
+        assert!(places < 1000, "no end of places");
+    }
+    assert!(sent(&mut node, UNSAFE), "the last place");
+    assert!(!sent(&mut node, UNSAFE), "there is no other");
+}
+
+/// What yields its place is sent as soon as two are free, and refused in its time where none is.
+#[test]
+fn what_yields_the_last_place_waits_no_longer_than_it_may_be_held() {
+    let mut node = one_place_at_each();
+    let mut sent = Vec::new();
+    let held = loop {
+        let (id, actions) = node.ask(SAFE);
+        if sent_to(&actions).is_none() {
+            break id;
+        }
+        sent.push(id);
+    };
+    let mut actions = node.end(sent[0], Outcome::Done);
+    actions.extend(node.wait(5.0));
+    assert!(sends(&actions).contains(&held), "{actions:?}");
+    let (late, actions) = node.ask(SAFE);
+    assert!(sent_to(&actions).is_none());
+    assert!(refused(&node.wait(60.0), late), "in its time");
+}
+
+/// With few servers there is no place to spare: a class that gains little would wait for nothing.
+#[test]
+fn a_node_with_few_servers_keeps_no_place() {
+    let mut node = Node::fleet(settings(), 2);
+    for class in [UNSAFE, SAFE, UNSAFE, SAFE] {
+        node.serve(class, 5.0);
+    }
+    let places = (0..40).filter(|_| sent_to(&node.ask(SAFE).1).is_some()).count();
+    assert!(sent_to(&node.ask(UNSAFE).1).is_none(), "all {places} are taken");
+}
+
+/// No place is kept for a class that hardly ever comes.
+#[test]
+fn a_class_that_never_comes_is_owed_no_place() {
+    let mut node = Node::fleet(settings(), 10);
+    for _ in 0..10 {
+        node.serve(SAFE, 5.0);
+    }
+    let places = (0..60).filter(|_| sent_to(&node.ask(SAFE).1).is_some()).count();
+    assert!(sent_to(&node.ask(UNSAFE).1).is_none(), "all {places} are taken");
+}
