--- a/crates/node/tests/fleet_size.rs
+++ b/crates/node/tests/fleet_size.rs
@@ -214,3 +214,26 @@
     }
     assert!(node.running());
 }
+
+/// Guards a release that the list tells of late, on sockets: a server that turns all away, as for too many connections or as
+/// it drains, is sent two requests and then left alone, whatever its turns.
+#[test]
+fn a_server_that_turns_away_is_soon_left_alone() {
+    let tried = Arc::new(Mutex::new(0));
+    let count = tried.clone();
+    let script: Script = Arc::new(move |_| {
+        *count.lock().expect("no panic") += 1;
+        Step::TurnAway
+    });
+    let identity = Identity { name: "s1".into(), cell: 0, protocol: Protocol::Http };
+    let away = StandIn::start(identity, script, Ledger::new(Duration::from_secs(8)));
+    let good = server();
+    let discovery = Discovery::start(&[active(&good), active(&away)]);
+    let node = Node::start(&program(), &config("n0", discovery.address, settings(400.0)), None);
+    node.wait_ready();
+    for n in 0..40 {
+        assert!(served(&node, &format!("t{n}")), "{n}");
+    }
+    let tried = *tried.lock().expect("no panic");
+    assert!((1..=4).contains(&tried), "{tried} of 40 went to the one that turns away");
+}
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 
 use common::*;
 use glenwood_policy::*;
@@ -29,6 +29,8 @@
 enum State {
     Serves,
     Drains,
+    /// Refuses connections.
+    Gone,
 }
 
 struct Server {
@@ -37,6 +39,13 @@
     waiting: VecDeque<(usize, RequestId, usize)>,
     working: usize,
     sends: usize,
+    /// When each came that it took in.
+    took_in: Vec<f64>,
+    /// Connections that stand idle, by node, and when each was opened.
+    idle: BTreeMap<usize, usize>,
+    opened: Vec<f64>,
+    open: usize,
+    open_most: usize,
     turned_away: usize,
 }
 
@@ -50,6 +59,22 @@
     Called { node: usize, call: u64, fails: bool },
 }
 
+fn server(id: u64) -> Server {
+    Server {
+        entry: entry(id, 1.0),
+        state: State::Serves,
+        waiting: VecDeque::new(),
+        working: 0,
+        sends: 0,
+        took_in: Vec::new(),
+        idle: BTreeMap::new(),
+        opened: Vec::new(),
+        open: 0,
+        open_most: 0,
+        turned_away: 0,
+    }
+}
+
 /// One service for all: it works through calls in turn, also through those that have been given up meanwhile.
 struct Lists {
     each: f64,
@@ -74,6 +99,8 @@
     last: u64,
     per_s: f64,
     counted: [usize; 3],
+    /// Which node sent to which server.
+    sent: BTreeSet<(usize, ServerId)>,
     due: BinaryHeap<Reverse<(u64, u64)>>,
     happens: BTreeMap<u64, Happens>,
 }
@@ -93,14 +120,6 @@
         let class =
             |aim: f64| Class { aim, patience: 4.0 * aim, late_worth: 0.3, ..set.classes[SAFE].clone() };
         set.classes = vec![class(250.0), class(1000.0)];
-        let server = |id: u64| Server {
-            entry: entry(id, 1.0),
-            state: State::Serves,
-            waiting: VecDeque::new(),
-            working: 0,
-            sends: 0,
-            turned_away: 0,
-        };
         let mut world = Self {
             now: 0.0,
             random: seed,
@@ -114,6 +133,7 @@
             last: 0,
             per_s: load * SERVERS as f64 * CORES as f64 * 1000.0 / WORK,
             counted: [0; 3],
+            sent: BTreeSet::new(),
             due: BinaryHeap::new(),
             happens: BTreeMap::new(),
         };
@@ -138,6 +158,7 @@
         let listed = |state| match state {
             State::Serves => Listed::Up,
             State::Drains => Listed::Draining,
+            State::Gone => Listed::Gone,
         };
         self.servers.values().map(|s| Entry { state: listed(s.state), ..s.entry.clone() }).collect()
     }
@@ -168,6 +189,7 @@
                     let sent = &mut self.asked.get_mut(&(node, id)).expect("it is open").1;
                     sent.push(self.now);
                     let attempt = sent.len() - 1;
+                    self.sent.insert((node, server));
                     self.at(WAY, Happens::Comes { server, node, id, attempt });
                 }
                 Action::Refuse { id, .. } => self.over(node, id, REFUSED),
@@ -238,15 +260,26 @@
             }
             Happens::Timer(node) => self.tell(node, Event::Timer),
             Happens::Comes { server: to, node, id, attempt } => {
+                let now = self.now;
                 let server = self.servers.get_mut(&to).expect("it was listed");
                 server.sends += 1;
+                match server.idle.get_mut(&node).filter(|idle| **idle > 0) {
+                    Some(idle) => *idle -= 1,
+                    None => {
+                        server.opened.push(now);
+                        server.open += 1;
+                        server.open_most = server.open_most.max(server.open);
+                    }
+                }
                 let held = server.waiting.len() + server.working;
                 let outcome = match server.state {
                     State::Serves if held < HOLDS => {
+                        server.took_in.push(now);
                         server.waiting.push_back((node, id, attempt));
                         return self.begin(to);
                     }
                     State::Serves | State::Drains => Outcome::Full,
+                    State::Gone => Outcome::ConnectFailed,
                 };
                 server.turned_away += 1;
                 self.at(WAY, Happens::Ends { server: to, node, id, attempt, outcome });
@@ -257,6 +290,12 @@
                 self.begin(server);
             }
             Happens::Ends { server, node, id, attempt, outcome } => {
+                let at = self.servers.get_mut(&server).expect("it was listed");
+                if outcome == Outcome::ConnectFailed {
+                    at.open = at.open.saturating_sub(1);
+                } else {
+                    *at.idle.entry(node).or_insert(0) += 1;
+                }
                 let sent = self.asked.get(&(node, id)).and_then(|(_, sent)| sent.get(attempt).copied());
                 let finished = sent.is_none() || outcome == Outcome::Done;
                 let took = sent.map_or(0.0, |sent| self.now - sent);
@@ -310,6 +349,43 @@
         self.counted.map(|count| count as f64 / sum)
     }
 
+    /// A server's process ends, and with it its connections.
+    fn down(&mut self, id: u64) {
+        let server = self.servers.get_mut(&ServerId(id)).expect("listed");
+        server.state = State::Gone;
+        (server.open, server.idle) = (0, BTreeMap::new());
+    }
+
+    /// A server that starts now, cold; one of that number before it is this one.
+    fn starts(&mut self, id: u64) {
+        let entry = Entry { started: Some(self.now), ..entry(id, 1.0) };
+        let server = self.servers.entry(ServerId(id)).or_insert_with(|| server(id));
+        (server.entry, server.state) = (entry, State::Serves);
+    }
+
+    /// All nodes that live are told of the list, one after another.
+    fn tell_all(&mut self, over: f64) {
+        for node in 0..NODES {
+            self.run(over / NODES as f64);
+            self.told(node);
+        }
+    }
+
+    /// How much of rule 4's budget a server that started then has been sent, in the worst window since.
+    fn budget_used(&self, id: u64, start: f64) -> f64 {
+        let rules = &self.set.rules;
+        let came: Vec<f64> =
+            self.servers[&ServerId(id)].took_in.iter().copied().filter(|at| *at >= start).collect();
+        let warm = CORES as f64 * rules.fall_window / WORK;
+        let used = (0..came.len()).map(|n| {
+            let within = came[n..].iter().take_while(|at| **at < came[n] + rules.fall_window).count();
+            let age = (came[n] - start) / rules.warm_within;
+            let capacity = (rules.cold_share + (1.0 - rules.cold_share) * age).min(1.0) * warm;
+            within as f64 / (rules.fall_multiple * capacity)
+        });
+        used.fold(0.0, f64::max)
+    }
+
     fn without_list(&self) -> usize {
         self.informed.iter().filter(|at| at.is_none()).count()
     }
@@ -428,3 +504,67 @@
     let (least, most) = calls_again(1, 1000.0, false);
     assert!(most - least > 5000.0, "others come back spread: from {least} to {most}");
 }
+
+/// A quarter of the fleet is lost at once and comes back cold, before the list has told anybody.
+#[test]
+fn a_zone_that_returns_cold_is_neither_pushed_over_nor_met_with_a_crowd_of_connections() {
+    let mut world = World::new(0.8, 3);
+    world.run(6000.0);
+    (0..15).for_each(|id| world.down(id));
+    world.run(1500.0);
+    (0..15).for_each(|id| world.starts(id));
+    let back = world.now;
+    world.tell_all(100.0);
+    world.run(10_000.0);
+    for id in 0..15 {
+        let used = world.budget_used(id, back);
+        assert!(used <= 1.0, "server {id} is sent {used} of what it bears");
+        let opened =
+            world.servers[&ServerId(id)].opened.iter().filter(|at| **at >= back && **at < back + 1000.0);
+        assert!(
+            opened.clone().count() <= 20,
+            "server {id}: {} connections in its first second",
+            opened.count()
+        );
+    }
+    let parts = world.parts(10_000.0);
+    assert!(parts[SERVED] > 0.9, "served, refused, failed: {parts:?}");
+    let most = world.servers.values().map(|s| s.open_most).max().expect("servers");
+    assert!(most <= 40, "{most} connections at one server, of 150");
+}
+
+/// Six in ten servers are replaced at once: traffic is even again over old and new ones when these are warm, and a change of
+/// one server moves few members at few nodes.
+#[test]
+fn traffic_is_even_again_after_most_servers_were_replaced() {
+    let mut world = World::new(0.4, 5);
+    world.run(3000.0);
+    (0..36).for_each(|id| world.down(id));
+    (100..136).for_each(|id| world.starts(id));
+    world.tell_all(3000.0);
+    let parts = world.parts(5000.0);
+    assert!(parts[SERVED] > 0.9, "served, refused, failed: {parts:?}");
+    world.run(world.set.rules.warm_within);
+    let before: BTreeMap<ServerId, usize> = world.servers.iter().map(|(id, s)| (*id, s.sends)).collect();
+    world.run(10_000.0);
+    let live = |s: &&Server| s.state == State::Serves;
+    let sends = world.servers.iter().filter(|(_, s)| live(s)).map(|(id, s)| s.sends - before[id]);
+    let sends: Vec<usize> = sends.collect();
+    let mean = sends.iter().sum::<usize>() as f64 / sends.len() as f64;
+    let most = *sends.iter().max().expect("servers") as f64;
+    let least = *sends.iter().min().expect("servers") as f64;
+    assert!(most < 1.5 * mean && least > 0.5 * mean, "{least} to {most}, {mean} on average");
+    // The nodes that send to each server, before and after one more is gone.
+    let senders = |world: &mut World| {
+        world.sent.clear();
+        world.run(5000.0);
+        std::mem::take(&mut world.sent)
+    };
+    let before = senders(&mut world);
+    world.down(100);
+    world.tell_all(100.0);
+    let after = senders(&mut world);
+    let kept = before.iter().filter(|(_, server)| *server != ServerId(100));
+    let moved = kept.filter(|pair| !after.contains(pair)).count();
+    assert!((moved as f64) < 0.25 * before.len() as f64, "{moved} of {} pairs moved", before.len());
+}
--- a/crates/trace/src/tables.rs
+++ b/crates/trace/src/tables.rs
@@ -51,6 +51,13 @@
     pub out_most: usize,
 }
 
+/// One attempt fewer is out at a server.
+fn left(out: &mut BTreeMap<String, usize>, server: &str) {
+    if let Some(out) = out.get_mut(server) {
+        *out = out.saturating_sub(1);
+    }
+}
+
 /// The tables of a fleet.
 #[derive(Clone, Debug, Default)]
 pub struct Tables {
@@ -74,7 +81,8 @@
             (BTreeMap::<u64, Second>::new(), BTreeMap::<String, ServerSum>::new());
         let mut out: BTreeMap<String, usize> = BTreeMap::new();
         let mut tried: BTreeSet<(String, u64)> = BTreeSet::new();
-        let mut open: BTreeSet<(String, u64, usize)> = BTreeSet::new();
+        let mut open: BTreeMap<(String, u64, usize), String> = BTreeMap::new();
+        let mut last: BTreeMap<String, u64> = BTreeMap::new();
         let mut by_second: BTreeMap<u64, BTreeMap<String, (usize, usize)>> = BTreeMap::new();
         for (at, node, doing) in &self.lines {
             let number = ((at - start) / 1000.0) as u64;
@@ -92,8 +100,17 @@
                 Doing::Probe(_) => second.probes += 1,
                 Doing::Ask { request, .. } => {
                     second.asked += 1;
-                    // A node that was restarted numbers its requests anew.
-                    tried.remove(&(node.clone(), *request));
+                    if last.insert(node.clone(), *request).is_some_and(|last| last >= *request) {
+                        // The node was restarted, and numbers its requests anew: what was out is over.
+                        tried.retain(|(of, _)| of != node);
+                        open.retain(|(of, _, _), server| {
+                            let goes = of == node;
+                            if goes {
+                                left(&mut out, server);
+                            }
+                            !goes
+                        });
+                    }
                 }
                 Doing::Send { request, attempt, server } => {
                     tried.insert((node.clone(), *request));
@@ -106,7 +123,7 @@
                     sum.sends += 1;
                     sum.nodes.insert(node.clone());
                     of_server.entry(server.clone()).or_default().0 += 1;
-                    if open.insert((node.clone(), *request, *attempt)) {
+                    if open.insert((node.clone(), *request, *attempt), server.clone()).is_none() {
                         let out = out.entry(server.clone()).or_default();
                         *out += 1;
                         second.out_most = second.out_most.max(*out);
@@ -121,9 +138,8 @@
                     } else {
                         sum.not_done += 1;
                     }
-                    if open.remove(&(node.clone(), *request, *attempt)) {
-                        let out = out.entry(server.clone()).or_default();
-                        *out = out.saturating_sub(1);
+                    if open.remove(&(node.clone(), *request, *attempt)).is_some() {
+                        left(&mut out, server);
                     }
                 }
                 Doing::Answer { request, answer } => {
--- a/crates/trace/tests/tables.rs
+++ b/crates/trace/tests/tables.rs
@@ -101,7 +101,11 @@
         "trace 2.0 send 1 0 s-1",
         "trace 1500.0 ask 1 0",
         "trace 1501.0 answer 1 refused",
+        "trace 1502.0 ask 2 0",
+        "trace 1503.0 send 2 0 s-1",
     ];
     assert!(lines.iter().all(|line| tables.take("n0", line)));
-    assert_eq!(tables.count().0[&1].answers, [0, 0, 1, 0]);
+    let (seconds, servers) = tables.count();
+    assert_eq!(seconds[&1].answers, [0, 0, 1, 0]);
+    assert_eq!(servers["s-1"].out_most, 1, "the first went with its node");
 }
