A server that turns away twice is probed first, and left alone for a span only after two more

Seen: with all the workspace's tests at once beside builds, all_four_pairs_come_to_the_same had one pair of 240 that differed (a request refused over HTTP after one attempt, served over MessagePack-RPC). By reading: two requests turned away in a row put a server out for up to 2.5 s, and that test has three servers and scripts that turn away; that the failure came of it is not proven. Fault: detect_outlier, which took being full for a moment for a drain.

Change: after two in a row the server is probed at once; where that is served it is back, and after two more with no answer between it is left alone for a span.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -788,16 +788,15 @@
             // would put the whole fleet on cold budgets. Several that break together are another matter.
             // One that drains, or is full with what others sent, costs a turn and an attempt each time.
             Outcome::TimedOut | Outcome::Error | Outcome::Reset | Outcome::Full => {
-                let most = if outcome == Outcome::Full { TURNED_AWAY } else { OUTLIER_FAILURES };
                 let broke = outcome == Outcome::Reset;
                 let together = broke && self.now - server.last_reset <= self.set.limits.connect_timeout;
-                if broke {
-                    server.last_reset = self.now;
-                }
+                server.last_reset = if broke { self.now } else { server.last_reset };
                 server.consecutive_failures += 1;
-                if together {
+                let away = outcome == Outcome::Full && server.consecutive_failures >= TURNED_AWAY;
+                if together || (away && server.ejections == 0) {
+                    server.ejections += u32::from(away);
                     self.suspect(id, outcome, took);
-                } else if server.consecutive_failures >= most {
+                } else if away || server.consecutive_failures >= OUTLIER_FAILURES {
                     server.consecutive_failures = 0;
                     self.eject(id, false);
                 }
