--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -217,6 +217,11 @@
         self.ids.len()
     }
 
+    /// How many listed servers the module avoids now.
+    pub fn avoided(&self) -> usize {
+        self.balancer.avoided()
+    }
+
     /// How many requests are open: awaiting their answer, or with attempts that still hold a place at a server.
     pub fn open(&self) -> usize {
         self.requests.len()
--- a/crates/msgpack-rpc/src/client.rs
+++ b/crates/msgpack-rpc/src/client.rs
@@ -195,23 +195,25 @@
         self.unwritten.iter().map(|u| &u.bytes[..])
     }
 
-    /// So many bytes of [`Connection::output`] were taken by the kernel.
-    pub fn wrote(&mut self, bytes: usize) {
-        let mut left = bytes;
+    /// So many bytes of [`Connection::output`] were taken by the kernel; how many calls are whole with them.
+    pub fn wrote(&mut self, bytes: usize) -> usize {
+        let (mut left, mut whole) = (bytes, 0);
         while let Some(front) = self.unwritten.front_mut().filter(|_| left > 0) {
             let taken = left.min(front.bytes.len());
             front.begun = true;
             front.bytes.advance(taken);
             left -= taken;
             if !front.bytes.is_empty() {
-                return;
+                break;
             }
             let id = front.id;
             self.unwritten.pop_front();
+            whole += 1;
             if let Some(open) = self.open.get_mut(&id) {
                 open.written = true;
             }
         }
+        whole
     }
 
     /// Takes what came.
--- a/crates/node/src/backend/http1.rs
+++ b/crates/node/src/backend/http1.rs
@@ -333,6 +333,10 @@
         let sent = Instant::now();
         let expected = pool.expect(server);
         link.sock.begin(message.body().len());
+        if matches!(message, Message::Call(_)) {
+            let figures = hub.figures.clone();
+            link.sock.when_whole(move || figures.with(|f| f.sends += 1));
+        }
         let request = message.request(end);
         let ended = timeout_at(end.into(), converse(&mut link, request)).await;
         drop(expected);
--- a/crates/node/src/backend/msgpack.rs
+++ b/crates/node/src/backend/msgpack.rs
@@ -304,7 +304,7 @@
         loop {
             self.expire(conn);
             self.fill(conn, sock);
-            if write(conn, sock).is_err() {
+            if write(conn, sock, &self.hub).is_err() {
                 // What the server said before may still be there.
                 while matches!(self.read(conn, sock), Ok(1..=CHUNK)) {}
                 break;
@@ -550,7 +550,7 @@
             while machine.unwritten() > 0 {
                 let parts: Vec<IoSlice<'_>> = machine.output().map(IoSlice::new).collect();
                 match sock.try_write(&parts) {
-                    Ok(n) => machine.wrote(n),
+                    Ok(n) => drop(machine.wrote(n)),
                     Err(error) if error.kind() == ErrorKind::WouldBlock => {
                         if sock.writable().await.is_err() {
                             return Outcome::ConnectFailed;
@@ -583,7 +583,7 @@
 }
 
 /// Writes what the kernel takes.
-fn write(conn: &Conn, sock: &Sock) -> std::io::Result<()> {
+fn write(conn: &Conn, sock: &Sock, hub: &Hub) -> std::io::Result<()> {
     let mut state = conn.state.borrow_mut();
     while state.machine.unwritten() > 0 {
         let wrote = {
@@ -591,7 +591,10 @@
             sock.try_write(&parts)
         };
         match wrote {
-            Ok(n) => state.machine.wrote(n),
+            Ok(n) => {
+                let whole = state.machine.wrote(n) as u64;
+                hub.figures.with(|figures| figures.sends += whole);
+            }
             Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
             Err(error) => return Err(error),
         }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -15,6 +15,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators ask for the figures, where they do.
+    pub mgmt: Option<SocketAddr>,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -46,16 +48,29 @@
 /// The least that a node can do anything with.
 const MEMORY_LEAST: u64 = 8;
 
+/// What the operators' door needs beside its callers: its listener, and its runtime's.
+const DOOR: usize = 4;
+
 impl Config {
+    /// How many callers the operators' door has at a time.
+    pub fn callers_most(&self) -> usize {
+        (self.sockets / 16).clamp(4, 32)
+    }
+
+    /// Descriptors that are nobody's connection.
+    fn reserve(&self) -> usize {
+        RESERVE + if self.mgmt.is_some() { DOOR + self.callers_most() } else { 0 }
+    }
+
     /// How many connections of clients there may be: half of what the process itself does not need, within what
     /// memory can bear.
     pub fn clients_most(&self) -> usize {
-        ((self.sockets - RESERVE) / 2).min(self.memory_mb * CLIENTS_PER_MB).max(1)
+        ((self.sockets - self.reserve()) / 2).min(self.memory_mb * CLIENTS_PER_MB).max(1)
     }
 
     /// How many connections to servers there may be: the rest.
     pub fn servers_most(&self) -> usize {
-        self.sockets - RESERVE - self.clients_most()
+        self.sockets - self.reserve() - self.clients_most()
     }
 }
 
@@ -97,6 +112,11 @@
         let (from, words) = text(name)?;
         words.parse().map_err(|_| format!("{from}: IP address and port expected, not {words:?}"))
     };
+    let mgmt = match text("mgmt") {
+        Ok(_) => Some(address("mgmt")?),
+        Err(_) if value.get("mgmt").is_none_or(Value::is_null) => None,
+        Err(words) => return Err(words),
+    };
     let seed = value.get("seed").and_then(Value::as_str).ok_or("seed: text expected")?;
     let known = match value.get("known") {
         None | Some(Value::Null) => None,
@@ -106,6 +126,7 @@
     Ok(Config {
         name: text("name")?.1,
         listen: address("listen")?,
+        mgmt,
         discovery: address("discovery")?,
         seed: u64::from_str_radix(seed, 16)
             .map_err(|_| format!("seed: hex digits expected, not {seed:?}"))?,
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use glenwood_core::{Final, Incoming as Taken, NotTaken, Token, LONGEST_WAIT};
+use glenwood_operation::figures::End;
 use glenwood_policy::{Effect, Millis, RequestId};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -21,7 +22,7 @@
 use super::table::{Client, Clients};
 use crate::call::{Call, Reply, Via, BODY_MOST, KEY, ORG, REMAINING, TXN};
 use crate::headers::end_to_end;
-use crate::hub::Hub;
+use crate::hub::{end_of, Hub};
 use crate::sock::{Io, Phase, Sock};
 
 /// How long a connection is read after its last answer, so that a reset does not overtake it.
@@ -72,15 +73,21 @@
         let status = if hub.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         plain(status)
     } else {
-        match read(hub, &sock, request).await {
-            Ok((asked, _)) if clients.all_in_use() => refusal(hub.stay_away(asked.class)),
+        let class = class_of(hub, request.uri());
+        let read = read(hub, &sock, class, request).await;
+        // Dropped with this, where the client leaves before it has its answer.
+        let ticket = class.map(|class| hub.ticket(class));
+        let (answer, end) = match read {
+            Ok((asked, _)) if clients.all_in_use() => (refusal(hub.stay_away(asked.class)), End::Deferred),
             Ok((asked, remaining)) => {
                 sock.look_ahead(length);
                 sock.enter(Phase::Busy);
                 settle(hub, asked, arrived, remaining).await
             }
-            Err(bad) => bad.answer(),
-        }
+            Err(bad) => (bad.answer(), End::Errored),
+        };
+        ticket.into_iter().for_each(|ticket| ticket.end(end));
+        answer
     };
     let first = sock.answers() == 0;
     // While the node stops, what only asks how it is must not push out those that can be served.
@@ -130,7 +137,12 @@
 }
 
 /// Hands the request to the core and waits for its final answer.
-async fn settle(hub: &Rc<Hub>, asked: Asked, arrived: Instant, remaining: Duration) -> Response<Full<Bytes>> {
+async fn settle(
+    hub: &Rc<Hub>,
+    asked: Asked,
+    arrived: Instant,
+    remaining: Duration,
+) -> (Response<Full<Bytes>>, End) {
     let began = hub.clock.at(arrived);
     let incoming = Taken {
         class: asked.class,
@@ -148,21 +160,23 @@
     let waiter = move |last| drop(answer.send(last));
     let id = match hub.request(incoming, waiter) {
         Ok(id) => id,
-        Err(NotTaken::NoRoom { stay_away }) => return refusal(stay_away),
-        Err(NotTaken::IdOpen) => return plain(StatusCode::CONFLICT),
-        Err(NotTaken::NoSuchClass) => return plain(StatusCode::NOT_FOUND),
-        Err(NotTaken::KeyMissing) => return plain(StatusCode::BAD_REQUEST),
+        Err(NotTaken::NoRoom { stay_away }) => return (refusal(stay_away), End::Deferred),
+        Err(NotTaken::IdOpen) => return (plain(StatusCode::CONFLICT), End::Errored),
+        Err(NotTaken::NoSuchClass) => return (plain(StatusCode::NOT_FOUND), End::Errored),
+        Err(NotTaken::KeyMissing) => return (plain(StatusCode::BAD_REQUEST), End::Errored),
     };
     let mut owed = Owed { hub: hub.clone(), id, answered: false };
-    let Ok(answer) = answered.await else { return plain(StatusCode::GATEWAY_TIMEOUT) };
+    let Ok(answer) = answered.await else { return (plain(StatusCode::GATEWAY_TIMEOUT), End::Errored) };
     owed.answered = true;
-    match answer {
+    let end = end_of(&answer);
+    let answer = match answer {
         Final::Served(reply) => served(reply),
         Final::Refused { stay_away } => refusal(stay_away),
         Final::Failed => plain(StatusCode::BAD_GATEWAY),
         Final::Overdue => plain(StatusCode::GATEWAY_TIMEOUT),
         Final::Rejected => plain(StatusCode::BAD_REQUEST),
-    }
+    };
+    (answer, end)
 }
 
 fn served(reply: Reply) -> Response<Full<Bytes>> {
@@ -239,7 +253,18 @@
     }
 }
 
-async fn read(hub: &Hub, sock: &Sock, request: Request<Incoming>) -> Result<(Asked, Duration), Bad> {
+/// The class that a request's path names, where there is such a class.
+fn class_of(hub: &Hub, uri: &Uri) -> Option<usize> {
+    let name = uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+    hub.config.told.classes.iter().position(|c| c == name)
+}
+
+async fn read(
+    hub: &Hub,
+    sock: &Sock,
+    class: Option<usize>,
+    request: Request<Incoming>,
+) -> Result<(Asked, Duration), Bad> {
     let told = &hub.config.told;
     let (parts, body) = request.into_parts();
     let bodied = !hyper::body::Body::is_end_stream(&body);
@@ -254,8 +279,7 @@
     if declared.is_some_and(|n| n > BODY_MOST as u64) {
         return Err(unread(StatusCode::PAYLOAD_TOO_LARGE));
     }
-    let name = parts.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-    let class = told.classes.iter().position(|c| c == name).ok_or_else(|| unread(StatusCode::NOT_FOUND))?;
+    let class = class.ok_or_else(|| unread(StatusCode::NOT_FOUND))?;
     let checked = check(&parts.method, &parts.headers, told.settings.classes[class].effect);
     let (id, key, remaining) = checked.map_err(|bad| unread(bad.status))?;
     let tenant = header(&parts.headers, &ORG).ok().flatten();
--- a/crates/node/src/front/msgpack.rs
+++ b/crates/node/src/front/msgpack.rs
@@ -10,6 +10,7 @@
 use glenwood_core::{Final, Incoming, NotTaken, Token, LONGEST_WAIT};
 use glenwood_msgpack_rpc::message::{Answer, Call as Asked, Code, ErrorReply};
 use glenwood_msgpack_rpc::server::{self, Connection, Event, Limits};
+use glenwood_operation::figures::End;
 use glenwood_policy::{Effect, Millis, RequestId};
 use hyper::{Method, Uri};
 use tokio::sync::Notify;
@@ -18,7 +19,7 @@
 use super::http1::LINGER;
 use super::table::{Client, Clients, ANSWERING};
 use crate::call::{Call, Reply, Via, BODY_MOST};
-use crate::hub::Hub;
+use crate::hub::{end_of, Hub};
 use crate::log;
 use crate::sock::{Phase, Sock, REQUEST_WITHIN};
 
@@ -181,9 +182,12 @@
                 None => return (handled, false),
                 Some(Event::Call { id, call }) => self.take(conn, id, call),
                 Some(Event::Surplus { id, class }) => {
-                    let class = self.class(&class).unwrap_or(0);
+                    let class = self.class(&class);
+                    let ticket = class.map(|class| self.hub.ticket(class));
+                    let class = class.unwrap_or(0);
                     let refusal = server::surplus(advice(self.hub.stay_away(class)));
                     conn.machine.borrow_mut().answer(id, &Err(refusal));
+                    ticket.into_iter().for_each(|ticket| ticket.end(End::Deferred));
                 }
                 Some(Event::Bad { .. }) => {}
                 Some(Event::Notification) => self.notified(),
@@ -216,6 +220,7 @@
             return conn.machine.borrow_mut().answer(id, &word);
         }
         let began = Instant::now();
+        let mut ticket = self.class(&asked.class).map(|class| self.hub.ticket(class));
         let answer = match self.check(asked, began) {
             Err(bad) => Err(bad),
             Ok(incoming) if self.clients.all_in_use() || !self.has_memory(incoming.payload.body.len()) => {
@@ -224,7 +229,11 @@
             Ok(incoming) => {
                 conn.open.borrow_mut().insert(id, None);
                 let to = conn.clone();
+                // Where it is not taken the ticket is back when that is known.
+                let held = Rc::new(Cell::new(ticket.take()));
+                let given = held.clone();
                 let taken = self.hub.request(incoming, move |last| {
+                    given.take().into_iter().for_each(|ticket| ticket.end(end_of(&last)));
                     to.open.borrow_mut().remove(&id);
                     to.machine.borrow_mut().answer(id, &answer_of(last));
                     to.changed.notify_one();
@@ -240,12 +249,16 @@
                     }
                     Err(not) => {
                         conn.open.borrow_mut().remove(&id);
+                        ticket = held.take();
                         Err(not_taken(not))
                     }
                 }
             }
         };
         conn.machine.borrow_mut().answer(id, &answer);
+        let refused = matches!(&answer, Err(error) if error.code == Code::Refused);
+        let end = if refused { End::Deferred } else { End::Errored };
+        ticket.into_iter().for_each(|ticket| ticket.end(end));
     }
 
     /// Checks what a call must bring, by the same bounds as a request over HTTP.
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -8,6 +8,7 @@
 
 use glenwood_core::{AttemptId, Core, Ended, Final, Incoming, NotTaken, Output};
 use glenwood_list::{Merge, Source, Succession};
+use glenwood_operation::figures::{End, Shared, Ticket};
 use glenwood_policy::{Millis, Outcome, RequestId, ServerId, SettingsError};
 use glenwood_trace::{Answer, Doing, Record};
 use tokio::sync::Notify;
@@ -46,6 +47,15 @@
     pub refused: u64,
 }
 
+/// How a final answer counts for operators.
+pub fn end_of(answer: &Final<Reply>) -> End {
+    match word(answer) {
+        Answer::Served => End::Answered,
+        Answer::Refused => End::Deferred,
+        Answer::Failed => End::Errored,
+    }
+}
+
 fn word(answer: &Final<Reply>) -> Answer {
     match answer {
         Final::Served(_) => Answer::Served,
@@ -63,8 +73,12 @@
     pub config: Config,
     /// Its clock.
     pub clock: Clock,
+    /// What operators see of it.
+    pub figures: Shared,
     /// Since when the node is to end: it is not ready any more.
     pub stopping: Cell<Option<Instant>>,
+    /// Its clients' addresses are open.
+    pub listening: Cell<bool>,
     /// Set shortly before the node ends: connections then close when they can.
     pub closing: Cell<bool>,
     /// Set when what is still open is failed: nothing more is taken.
@@ -100,9 +114,11 @@
     /// Where the module refuses the settings.
     pub fn new(config: Config) -> Result<Rc<Self>, SettingsError> {
         let core = Core::new(config.told.settings.clone(), config.seed, config.told.open_cap)?;
-        Ok(Rc::new(Self {
+        let hub = Rc::new(Self {
             clock: Clock::default(),
+            figures: Shared::default(),
             stopping: Cell::new(None),
+            listening: Cell::new(false),
             closing: Cell::new(false),
             failing: Cell::new(false),
             core: RefCell::new(core),
@@ -120,7 +136,10 @@
             armed: Cell::new(None),
             rearmed: Notify::new(),
             config,
-        }))
+        });
+        let names = hub.config.told.classes.iter().map(String::as_str);
+        hub.figures.with(|figures| figures.have_classes(names));
+        Ok(hub)
     }
 
     /// Says who does what the core wants done, and takes the saved list. To be called once, before anything else.
@@ -256,6 +275,26 @@
         self.trace(|name| Doing::Connect(name(server)));
     }
 
+    // ---- Who operates ----
+
+    /// A request of this class was read, and may be answered at once; it ends with its ticket.
+    pub fn ticket(&self, class: usize) -> Ticket {
+        self.figures.take(self.config.told.classes.get(class).map_or("", String::as_str))
+    }
+
+    /// Writes down what is not counted as it happens.
+    pub fn show(&self) {
+        let (ready, listed) = (self.ready() && self.listening.get(), self.listed_servers() as u64);
+        let avoided = self.core.borrow().avoided() as u64;
+        self.figures.with(|f| (f.ready, f.listed, f.avoided) = (ready, listed, avoided));
+    }
+
+    /// The node is to end.
+    pub fn stop(&self) {
+        self.stopping.set(Some(Instant::now()));
+        self.show();
+    }
+
     // ---- Who inspects ----
 
     /// Final answers so far.
@@ -395,6 +434,7 @@
         self.list_heard.set(Some(Instant::now()));
         if !self.informed.replace(true) {
             self.tell(|core, now| core.list_changed(now, Vec::new()));
+            self.show();
         }
     }
 
@@ -453,5 +493,6 @@
                 core.list_news(now, entries);
             }
         });
+        self.show();
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod config;
 pub mod discovery;
+pub mod door;
 pub mod front;
 pub mod headers;
 pub mod hub;
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -16,6 +16,7 @@
 use crate::call::Call;
 use crate::config::{self, Config};
 use crate::discovery;
+use crate::door;
 use crate::front::{Fronts, Speaks};
 use crate::hub::{Hub, Outside};
 use crate::inspect;
@@ -39,6 +40,10 @@
 /// How long after its watch at the agent ended a node that is pushed its list opens the next: first, and at most. What the
 /// agent has counts as told, and to ask it costs nobody anything.
 const AGENT_AGAIN: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(320));
+/// How often operators are shown what is not counted as it happens.
+const SHOW: Duration = Duration::from_millis(100);
+/// How often it is looked whether a node that can't serve yet can.
+const READY_LOOK: Duration = Duration::from_millis(10);
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(200);
 
@@ -116,14 +121,22 @@
     }
 }
 
+/// Binds the clients' address, which another process of this node may share.
+fn bind(at: SocketAddr, shared: bool) -> std::io::Result<TcpSocket> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(shared)?;
+    socket.bind(at)?;
+    Ok(socket)
+}
+
+/// Does another process listen there? Nobody is let share with who asks, so a bind tells.
+fn is_taken(at: SocketAddr) -> bool {
+    matches!(bind(at, false), Err(e) if e.kind() == std::io::ErrorKind::AddrInUse)
+}
+
 fn listen(at: SocketAddr) -> Result<TcpListener, String> {
-    let listen = || {
-        let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        socket.set_reuseaddr(true)?;
-        socket.bind(at)?;
-        socket.listen(BACKLOG)
-    };
-    listen().map_err(|e: std::io::Error| format!("listen: {at}: {e}"))
+    bind(at, true).and_then(|s| s.listen(BACKLOG)).map_err(|e| format!("listen: {at}: {e}"))
 }
 
 /// Runs a node until it is told to stop, and finishes what it has taken.
@@ -136,22 +149,25 @@
     // Without a handler SIGHUP ends the process, and with it all that it has taken.
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signal: {e}"))?;
     let speaks = if config.operator.msgpack_shared { Speaks::Either } else { Speaks::Http1 };
-    let mut listeners = vec![(listen(config.listen)?, speaks)];
-    if let Some(at) = config.operator.msgpack_listen {
-        listeners.push((listen(at)?, Speaks::Msgpack));
-    }
+    let mut addresses = vec![(config.listen, speaks)];
+    addresses.extend(config.operator.msgpack_listen.map(|at| (at, Speaks::Msgpack)));
+    // A connection that the kernel deals to this process must be served. Where none is beside it, clients see by its refusals
+    // that it is not ready; where one is, they see nothing of a process that does not listen yet.
+    let beside = addresses.iter().any(|(at, _)| is_taken(*at));
+    type Listeners = Vec<(TcpListener, Speaks)>;
+    let listen_all = || -> Result<Listeners, String> {
+        addresses.iter().map(|(at, speaks)| Ok((listen(*at)?, *speaks))).collect()
+    };
+    let mut listeners = if beside { Vec::new() } else { listen_all()? };
     let inspect = config.operator.inspect.clone();
     let inspecting = inspect.as_deref().map(inspect::listen).transpose()?;
     let known = config.known.take();
     let descriptors = Descriptors::new(config.servers_most());
     let hub = Hub::new(config).map_err(|e| format!("settings: {e}"))?;
-    for (listener, speaks) in &listeners {
-        let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
-        let name = &hub.config.name;
-        log::line(match speaks {
-            Speaks::Http1 | Speaks::Either => format!("{name} listens at {address}"),
-            Speaks::Msgpack => format!("{name} takes MessagePack-RPC at {address}"),
-        });
+    if let Some(at) = hub.config.mgmt {
+        let at = door::open(at, hub.config.callers_most(), hub.figures.clone())?;
+        log::line(format!("{} answers operators at {at}", hub.config.name));
+        spawn_local(show(hub.clone()));
     }
     let links = Rc::new(Links {
         http1: http1::Servers::new(hub.clone(), descriptors.clone()),
@@ -160,6 +176,7 @@
         call: RefCell::default(),
         hub: hub.clone(),
     });
+    spawn_local(hub.clone().run_timer());
     hub.start(links.clone(), known);
     if hub.config.told.settings.discovery == Discovery::Pushed && hub.config.operator.asks_discovery() {
         spawn_local(watch_agent(links.clone()));
@@ -168,11 +185,34 @@
         registrations::take_saved(&hub, &told);
         spawn_local(registrations::follow(hub.clone(), told));
     }
+    if beside {
+        log::line(format!("{}: another process listens at {}", hub.config.name, hub.config.listen));
+        let until_ready = async {
+            while !hub.ready() {
+                tokio::time::sleep(READY_LOOK).await;
+            }
+        };
+        tokio::select! {
+            () = until_ready => {}
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+        }
+        listeners = listen_all()?;
+    }
+    hub.listening.set(true);
+    hub.show();
+    for (listener, speaks) in &listeners {
+        let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
+        let name = &hub.config.name;
+        log::line(match speaks {
+            Speaks::Http1 | Speaks::Either => format!("{name} listens at {address}"),
+            Speaks::Msgpack => format!("{name} takes MessagePack-RPC at {address}"),
+        });
+    }
     if let Some(listener) = inspecting {
         spawn_local(inspect::answer(hub.clone(), listener, operator));
     }
     let fronts = Fronts::new(&hub, descriptors);
-    spawn_local(hub.clone().run_timer());
     spawn_local(sweep(links.clone(), fronts.clone()));
     spawn_local(reload(links.clone(), hangup));
     let accepting: Vec<AbortHandle> = listeners
@@ -214,6 +254,14 @@
     }
 }
 
+/// Keeps up what operators are shown of the list.
+async fn show(hub: Rc<Hub>) {
+    loop {
+        hub.show();
+        tokio::time::sleep(SHOW).await;
+    }
+}
+
 async fn sweep(links: Rc<Links>, fronts: Rc<Fronts>) {
     loop {
         tokio::time::sleep(SWEEP).await;
@@ -237,7 +285,7 @@
 async fn stop(hub: &Rc<Hub>, fronts: &Rc<Fronts>, accepting: &[AbortHandle]) {
     let told = Instant::now();
     let clients = &fronts.clients;
-    hub.stopping.set(Some(told));
+    hub.stop();
     let killed = patience(hub.config.told.longest_deadline);
     let after = |before: Duration| told.elapsed() >= killed.saturating_sub(before);
     while told.elapsed() < ACCEPT || (clients.count() > 0 && !after(CLOSE_BEFORE)) {
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -105,6 +105,8 @@
     out: RefCell<Progress>,
     /// What came back since the message was begun.
     back: RefCell<Back>,
+    /// Told once the kernel has the message's last byte.
+    when_whole: Cell<Option<Box<dyn FnOnce()>>>,
     phase: Cell<Phase>,
     /// When the phase began.
     since: Cell<Instant>,
@@ -150,6 +152,7 @@
             stream,
             out: RefCell::default(),
             back: RefCell::default(),
+            when_whole: Cell::default(),
             phase: Cell::new(Phase::Idle),
             since: Cell::new(now),
             began: Cell::new(now),
@@ -167,6 +170,12 @@
     pub fn begin(&self, body: usize) {
         *self.out.borrow_mut() = Progress { body, ..Progress::default() };
         *self.back.borrow_mut() = Back::default();
+        self.when_whole.take();
+    }
+
+    /// Tells when the kernel has taken the last byte of the message that was begun.
+    pub fn when_whole(&self, tell: impl FnOnce() + 'static) {
+        self.when_whole.set(Some(Box::new(tell)));
     }
 
     /// Has the kernel taken any byte of the message?
@@ -363,6 +372,11 @@
 
     fn took(&self, bytes: &[u8]) {
         self.out.borrow_mut().took(bytes);
+        if self.whole() {
+            if let Some(tell) = self.when_whole.take() {
+                tell();
+            }
+        }
         if self.phase.get() == Phase::Answering && self.whole() {
             // What came ahead is the next request: half of one must not pass for an idle connection.
             if self.ahead.take() {
--- /dev/null
+++ b/crates/node/tests/operation.rs
@@ -0,0 +1,272 @@
+//! What operators do to the real program and see of it: its door, its figures, two processes at one address.
+
+mod peers;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+use peers::{
+    answer, config, host, request, run, until, Client, Message, Node, Peer, Registry, Say, PATIENCE,
+};
+use serde_json::{json, Value};
+
+fn with_door(mut config: Value) -> Value {
+    config["mgmt"] = json!("127.0.0.1:0");
+    config
+}
+
+/// Where operators ask this node.
+fn door(node: &Node) -> SocketAddr {
+    node.said(" answers operators at ").parse().expect("an address")
+}
+
+/// One call at a door; `None` where the connection ends without an answer.
+fn call_at(door: SocketAddr, head: &str) -> Option<(u16, String)> {
+    let mut stream = TcpStream::connect(door).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+    stream.write_all(head.as_bytes()).ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    Some((head.split(' ').nth(1)?.parse().ok()?, body.to_string()))
+}
+
+fn get(door: SocketAddr, path: &str) -> (u16, String) {
+    call_at(door, &format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n")).expect("an answer")
+}
+
+/// A figure by its whole name; 0 where it is not shown.
+fn figure(door: SocketAddr, name: &str) -> u64 {
+    let (status, text) = get(door, "/metrics");
+    assert_eq!(status, 200);
+    let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    value.map_or(0, |value| value.parse().expect("a number"))
+}
+
+fn transactions(door: SocketAddr, class: &str, state: &str) -> u64 {
+    figure(door, &format!("node_transactions{{group=\"{class}\",state=\"{state}\"}}"))
+}
+
+fn one_server(peer: &Peer) -> Registry {
+    Registry::new(&[host("s0", peer.address, "active", 0)])
+}
+
+#[test]
+fn the_door_knows_two_calls_and_turns_down_the_rest() {
+    let peer = Peer::good("s0");
+    let registry = one_server(&peer);
+    let node = Node::ready(&with_door(config(registry.address)));
+    let door = door(&node);
+    until("the door says ready", || get(door, "/ready").0 == 200);
+    assert!(get(door, "/metrics").1.contains("node_cluster_size 1\n"));
+    assert_eq!(get(door, "/look/7").0, 404);
+    assert_eq!(
+        call_at(door, "POST /ready HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n").map(|a| a.0),
+        Some(405)
+    );
+    assert_eq!(call_at(door, "nonsense\r\n\r\n").map(|a| a.0), Some(400));
+    node.terminate();
+    until("it is not ready any more", || {
+        call_at(door, "GET /ready HTTP/1.1\r\n\r\n").is_none_or(|a| a.0 == 503)
+    });
+}
+
+#[test]
+fn a_node_without_servers_says_at_the_door_that_it_is_not_ready() {
+    let registry = Registry::new(&[]);
+    registry.down(true);
+    let node = Node::listening(&with_door(config(registry.address)), None);
+    assert_eq!(get(door(&node), "/ready").0, 503);
+}
+
+#[test]
+fn callers_who_hold_half_a_call_keep_nobody_out() {
+    let peer = Peer::good("s0");
+    let registry = one_server(&peer);
+    // Fewer descriptors than callers: they must not take those of others either.
+    let mut config = with_door(config(registry.address));
+    config["limits"]["sockets"] = json!(96);
+    let node = Node::listening(&config, Some(96));
+    node.wait_ready();
+    let door = door(&node);
+    let held: Vec<TcpStream> = (0..200)
+        .map(|_| {
+            let mut stream = TcpStream::connect(door).expect("the kernel takes it in");
+            stream.write_all(b"GET /metr").expect("it is written");
+            stream
+        })
+        .collect();
+    for _ in 0..5 {
+        assert_eq!(get(door, "/ready").0, 200);
+    }
+    assert_eq!(Client::to(&node).ask(&request("look", "t1", 5000)).status(), 200);
+    drop(held);
+}
+
+#[test]
+fn one_who_never_reads_keeps_nobody_out() {
+    let peer = Peer::good("s0");
+    let registry = one_server(&peer);
+    let node = Node::ready(&with_door(config(registry.address)));
+    let door = door(&node);
+    let _unread: Vec<TcpStream> = (0..200)
+        .map(|_| {
+            let mut stream = TcpStream::connect(door).expect("the kernel takes it in");
+            stream.write_all(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n").expect("it is written");
+            stream
+        })
+        .collect();
+    assert_eq!(get(door, "/ready").0, 200);
+}
+
+#[test]
+fn a_door_that_cannot_be_opened_is_said_in_one_line() {
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let registry = Registry::new(&[]);
+    let mut config = config(registry.address);
+    config["mgmt"] = json!(taken.local_addr().expect("bound").to_string());
+    let (code, words) = run(&config);
+    assert_eq!(code, Some(1));
+    assert!(words.contains("mgmt: ") && words.trim().lines().count() == 1, "{words}");
+    config["mgmt"] = json!("nowhere");
+    let (code, words) = run(&config);
+    assert_eq!(code, Some(1));
+    assert!(words.contains("mgmt: IP address and port expected"), "{words}");
+}
+
+#[test]
+fn figures_are_what_peers_saw() {
+    // The path says what the server is to do.
+    let peer = Peer::new(|message: &Message| match message.header("x-org") {
+        Some("fail") => Say::This(answer(500, "", "")),
+        Some("away") => Say::This(answer(503, "X-Turned-Away: 1\r\n", "")),
+        Some("none") => Say::Nothing,
+        _ => Say::This(answer(200, "", "served")),
+    });
+    let registry = one_server(&peer);
+    let mut told = with_door(config(registry.address));
+    told["settings"]["Limits"]["AttemptsCap"] = json!(1);
+    let node = Node::ready(&told);
+    let door = door(&node);
+    let ask = |class: &str, txn: &str, org: &str, remaining: u64| {
+        let words = request(class, txn, remaining).replace("X-Txn", &format!("X-Org: {org}\r\nX-Txn"));
+        Client::to(&node).ask(&words).status()
+    };
+    for n in 0..5 {
+        assert_eq!(ask("look", &format!("a{n}"), "good", 5000), 200);
+    }
+    let unserved = [("b", "none", 300), ("c", "fail", 5000), ("d", "away", 5000)];
+    let statuses = unserved.map(|(txn, org, remaining)| ask("slip", txn, org, remaining));
+    let refused = statuses.iter().filter(|status| **status == 503).count() as u64;
+    assert!((1..3).contains(&refused) && !statuses.contains(&200), "{statuses:?}");
+    // What the front turns down by itself: an unknown class is nobody's, a known one's faults are its own.
+    assert_eq!(Client::to(&node).ask(&request("other", "e", 5000)).status(), 404);
+    assert_eq!(
+        Client::to(&node).ask(&request("pay", "f", 5000).replace("Idempotency-Key", "X-Key")).status(),
+        400
+    );
+    let count = |class, state| transactions(door, class, state);
+    assert_eq!(["answered", "deferred", "errored"].map(|state| count("look", state)), [5, 0, 0]);
+    assert_eq!(
+        ["answered", "deferred", "errored"].map(|state| count("slip", state)),
+        [0, refused, 3 - refused]
+    );
+    assert_eq!(["answered", "deferred", "errored"].map(|state| count("pay", state)), [0, 0, 1]);
+    assert_eq!(figure(door, "node_sends"), peer.seen().len() as u64);
+    assert_eq!(figure(door, "node_current"), 0);
+    // One that is open shows, until its client leaves.
+    let mut client = Client::to(&node);
+    client.send(&request("look", "g", 20_000).replace("X-Txn", "X-Org: none\r\nX-Txn"));
+    until("it is open", || figure(door, "node_current") == 1);
+    drop(client);
+    until("its client has left", || figure(door, "node_current") == 0);
+    assert_eq!(count("look", "errored"), 0);
+}
+
+#[test]
+fn a_server_that_is_down_shows_as_avoided() {
+    let (good, gone) = (Peer::good("s0"), TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let at = gone.local_addr().expect("bound");
+    drop(gone);
+    let registry = Registry::new(&[host("s0", good.address, "active", 0), host("s1", at, "active", 0)]);
+    let node = Node::ready(&with_door(config(registry.address)));
+    let door = door(&node);
+    assert_eq!((figure(door, "node_cluster_size"), figure(door, "node_cluster_unhealthy")), (2, 0));
+    let mut client = Client::to(&node);
+    let mut number = 0;
+    until("the node avoids it", || {
+        number += 1;
+        assert_eq!(client.ask(&request("look", &format!("t{number}"), 5000)).status(), 200);
+        figure(door, "node_cluster_unhealthy") == 1
+    });
+}
+
+#[test]
+fn a_second_process_takes_over_without_a_request_lost() {
+    let peer = Peer::new(|_| Say::Later(Duration::from_millis(5), answer(200, "", "served")));
+    let registry = one_server(&peer);
+    let mut told = with_door(config(registry.address));
+    told["settings"]["Classes"][0]["Deadline"] = json!(1500.0);
+    told["settings"]["Classes"][1]["Deadline"] = json!(1500.0);
+    told["settings"]["Classes"][2]["Deadline"] = json!(1500.0);
+    let mut old = Node::ready(&told);
+    told["listen"] = json!(old.address.to_string());
+    let asked = std::sync::atomic::AtomicUsize::new(0);
+    let over = std::sync::atomic::AtomicBool::new(false);
+    let (asked, over) = (&asked, &over);
+    std::thread::scope(|scope| {
+        let at = old.address;
+        for client in 0..3 {
+            scope.spawn(move || {
+                let mut kept: Option<Client> = None;
+                while !over.load(std::sync::atomic::Ordering::SeqCst) {
+                    let number = asked.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+                    // Every third comes on a connection of its own: each step of the change meets some.
+                    let fresh = kept.is_none() || number % 3 == 0;
+                    let mut conn = if fresh { Client::at(at) } else { kept.take().expect("kept") };
+                    let heard = conn.ask(&request("slip", &format!("t{client}-{number}"), 5000));
+                    assert_eq!(heard.status(), 200);
+                    let closes = heard.header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
+                    kept = (!closes).then_some(conn);
+                }
+            });
+        }
+        let count = || asked.load(std::sync::atomic::Ordering::SeqCst);
+        for _ in 0..2 {
+            let new = Node::listening(&told, None);
+            let door = door(&new);
+            until("the new process says yes", || get(door, "/ready").0 == 200);
+            let before = count();
+            old.terminate();
+            assert_eq!(old.exit_code(), Some(0));
+            until("requests go on", || count() > before + 20);
+            old = new;
+        }
+        over.store(true, std::sync::atomic::Ordering::SeqCst);
+    });
+    assert_eq!(peer.seen().len(), count_of(asked), "each was carried out once");
+}
+
+fn count_of(asked: &std::sync::atomic::AtomicUsize) -> usize {
+    asked.load(std::sync::atomic::Ordering::SeqCst)
+}
+
+#[test]
+fn a_second_process_that_cannot_serve_takes_no_connection() {
+    let peer = Peer::good("s0");
+    let registry = one_server(&peer);
+    let first = Node::ready(&with_door(config(registry.address)));
+    let mut told = with_door(config(registry.address));
+    told["listen"] = json!(first.address.to_string());
+    registry.down(true);
+    let second = Node::started(&told);
+    until("it is up", || second.logged("another process listens at"));
+    let door = second.wait_said(" answers operators at ").parse().expect("an address");
+    assert_eq!(get(door, "/ready").0, 503);
+    for n in 0..40 {
+        assert_eq!(Client::to(&first).ask(&request("look", &format!("t{n}"), 5000)).status(), 200);
+    }
+    registry.down(false);
+    until("it can serve", || get(door, "/ready").0 == 200);
+}
--- a/crates/node/tests/peers/mod.rs
+++ b/crates/node/tests/peers/mod.rs
@@ -354,7 +354,18 @@
         node
     }
 
-    fn start((mut command, file): (Command, String)) -> Self {
+    fn start(what: (Command, String)) -> Self {
+        let mut node = Self::spawned(what);
+        node.address = node.wait_said(" listens at ").parse().expect("an address");
+        node
+    }
+
+    /// Starts a node that may not listen yet.
+    pub fn started(config: &Value) -> Self {
+        Self::spawned(command(config, None))
+    }
+
+    fn spawned((mut command, file): (Command, String)) -> Self {
         let mut child = command.spawn().expect("it starts");
         let log = Arc::new(Mutex::new(Vec::new()));
         let lines = log.clone();
@@ -364,14 +375,20 @@
                 lines.lock().expect("no panic").push(line);
             }
         });
-        let mut address = None;
-        until("the node listens", || {
-            let lines = log.lock().expect("no panic");
-            let find = |l: &String| l.split_once(" listens at ").and_then(|(_, a)| a.parse().ok());
-            address = lines.iter().find_map(find);
-            address.is_some()
-        });
-        Self { child, file, address: address.expect("found"), log }
+        Self { child, file, address: ([0, 0, 0, 0], 0).into(), log }
+    }
+
+    /// What the log says behind these words; waits for it.
+    pub fn wait_said(&self, words: &str) -> String {
+        until(words, || self.logged(words));
+        self.said(words)
+    }
+
+    /// What the log says behind these words.
+    pub fn said(&self, words: &str) -> String {
+        let lines = self.log.lock().expect("no panic");
+        let line = lines.iter().find_map(|l| Some(l.split_once(words)?.1.to_string()));
+        line.expect("it was said")
     }
 
     /// Starts a node and waits until it is ready.
@@ -457,7 +474,11 @@
 
 impl Client {
     pub fn to(node: &Node) -> Self {
-        let out = TcpStream::connect(node.address).expect("the node listens");
+        Self::at(node.address)
+    }
+
+    pub fn at(address: SocketAddr) -> Self {
+        let out = TcpStream::connect(address).expect("the node listens");
         out.set_read_timeout(Some(PATIENCE)).expect("a socket");
         let from = BufReader::new(out.try_clone().expect("a socket"));
         Self { out, from }
--- /dev/null
+++ b/crates/operation/src/lib.rs
@@ -0,0 +1,4 @@
+//! What operators see and do of a running node, without I/O and without a clock.
+#![warn(missing_docs)]
+
+pub mod figures;
--- /dev/null
+++ b/crates/operation/tests/figures.rs
@@ -0,0 +1,104 @@
+//! What is taken is counted once, whichever way it ends.
+
+use glenwood_operation::figures::{End, Ends, Shared, Ticket, VANISHED_MOST};
+use proptest::prelude::*;
+
+const CLASSES: [&str; 3] = ["look", "pay", "slip"];
+
+#[derive(Clone, Debug)]
+enum Step {
+    Take(usize),
+    End(usize, Option<End>),
+    Have(Vec<usize>),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let end = prop_oneof![
+        Just(None),
+        Just(Some(End::Answered)),
+        Just(Some(End::Deferred)),
+        Just(Some(End::Errored))
+    ];
+    prop_oneof![
+        3 => (0..CLASSES.len()).prop_map(Step::Take),
+        3 => (any::<usize>(), end).prop_map(|(n, end)| Step::End(n, end)),
+        1 => prop::collection::vec(0..CLASSES.len(), 1..3).prop_map(Step::Have),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn taken_is_what_ended_and_what_has_not(steps in prop::collection::vec(step(), 1..200)) {
+        let shared = Shared::default();
+        shared.with(|f| f.have_classes(CLASSES));
+        let mut open: Vec<(usize, Ticket)> = Vec::new();
+        let mut counted = [Ends::default(); CLASSES.len()];
+        let mut gone = 0;
+        for step in steps {
+            match step {
+                Step::Take(class) => open.push((class, shared.take(CLASSES[class]))),
+                Step::End(n, end) if !open.is_empty() => {
+                    let (class, ticket) = open.swap_remove(n % open.len());
+                    match end {
+                        None => { gone += 1; drop(ticket) }
+                        Some(end) => {
+                            match end {
+                                End::Answered => counted[class].answered += 1,
+                                End::Deferred => counted[class].deferred += 1,
+                                End::Errored => counted[class].errored += 1,
+                            }
+                            ticket.end(end);
+                        }
+                    }
+                }
+                Step::End(..) => {}
+                // What vanishes keeps its counts, and a request under way its class.
+                Step::Have(which) => shared.with(|f| f.have_classes(which.iter().map(|n| CLASSES[*n]))),
+            }
+            let now = shared.with(|f| f.clone());
+            let sum: u64 = CLASSES.iter().filter_map(|c| now.of(c)).map(|e| e.answered + e.deferred + e.errored).sum();
+            prop_assert_eq!(now.taken, sum + now.current + now.gone);
+            prop_assert_eq!((now.current, now.gone), (open.len() as u64, gone));
+            for (class, counted) in CLASSES.iter().zip(counted) {
+                prop_assert_eq!(now.of(class), Some(counted));
+            }
+        }
+    }
+}
+
+#[test]
+fn classes_that_come_and_go_for_ever_take_a_bounded_place() {
+    let shared = Shared::default();
+    for n in 0..10_000 {
+        let name = format!("class-{n}");
+        shared.with(|f| f.have_classes(["look", name.as_str()]));
+        shared.take(&name).end(End::Answered);
+    }
+    let text = shared.with(|f| f.text());
+    let shown = text.lines().filter(|l| l.starts_with("node_transactions{")).count();
+    assert_eq!(shown, 3 * (VANISHED_MOST + 2));
+    assert_eq!(shared.with(|f| f.of("class-9999")), Some(Ends { answered: 1, ..Ends::default() }));
+    assert_eq!(shared.with(|f| f.of("class-0")), None);
+}
+
+#[test]
+fn the_text_names_all_and_labels_are_escaped() {
+    let shared = Shared::default();
+    shared.with(|f| f.have_classes(["a\"b\\c\nd"]));
+    shared.take("a\"b\\c\nd").end(End::Deferred);
+    let _open = shared.take("a\"b\\c\nd");
+    shared.with(|f| (f.sends, f.listed, f.avoided, f.conf_loaded, f.conf_invalid) = (7, 12, 2, 3, 1));
+    let text = shared.with(|f| f.text());
+    for line in [
+        "node_transactions{group=\"a\\\"b\\\\c\\nd\",state=\"deferred\"} 1",
+        "node_sends 7",
+        "node_current 1",
+        "node_cluster_size 12",
+        "node_cluster_unhealthy 2",
+        "node_conf_loaded 3",
+        "node_conf_invalid 1",
+    ] {
+        assert!(text.lines().any(|l| l == line), "{line} in {text}");
+    }
+    assert!(text.ends_with('\n'));
+}
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -215,12 +215,24 @@
     work: Option<f64>,
 }
 
+impl ClassStats {
+    fn new(class: &Class) -> Self {
+        Self { mean: class.aim / 4.0, seen: 0, excess: 0.0, most_left: f64::NEG_INFINITY, work: None }
+    }
+}
+
 /// Worth asked for and served.
 struct Served {
     asked: Rate,
     served: Rate,
 }
 
+impl Served {
+    fn new() -> Self {
+        Self { asked: Rate::new(), served: Rate::new() }
+    }
+}
+
 /// The state of the calls to discovery.
 #[derive(PartialEq)]
 enum Call {
@@ -303,20 +315,9 @@
             Discovery::Pushed => Call::Settled,
             Discovery::Asked => Call::AskAt(f64::NEG_INFINITY, 0),
         };
-        let classes = settings
-            .classes
-            .iter()
-            .map(|c| ClassStats {
-                mean: c.aim / 4.0,
-                seen: 0,
-                excess: 0.0,
-                most_left: f64::NEG_INFINITY,
-                work: None,
-            })
-            .collect();
-        let care = || Served { asked: Rate::new(), served: Rate::new() };
-        let class_served = settings.classes.iter().map(|_| care()).collect();
-        let tenant_served = settings.tenants.iter().map(|_| care()).collect();
+        let classes = settings.classes.iter().map(ClassStats::new).collect();
+        let class_served = settings.classes.iter().map(|_| Served::new()).collect();
+        let tenant_served = settings.tenants.iter().map(|_| Served::new()).collect();
         let quotas = settings.tenants.iter().map(|_| (0.0, f64::NEG_INFINITY)).collect();
         Ok(Self {
             set: settings,
@@ -407,6 +408,11 @@
         (STAY_AWAY * aim).min(self.set.limits.max_retry_after)
     }
 
+    /// How many listed servers this node sends nothing to, as they seem to be down or to fail.
+    pub fn avoided(&self) -> usize {
+        self.up().filter(|s| s.ejected.is_some()).count()
+    }
+
     /// When time alone next calls for something.
     fn next_due(&self) -> Millis {
         let call = match self.call {
@@ -954,15 +960,8 @@
         let alone = server.out.len() == 1;
         let at_limit =
             if allowed < 1.0 { rested <= 2.0 * rest } else { 2.0 * server.out.len() as f64 >= allowed };
-        request.attempts.push(Attempt {
-            server: to,
-            zone,
-            cell,
-            sent: self.now,
-            at_limit,
-            alone,
-            outcome: None,
-        });
+        let (server, sent) = (to, self.now);
+        request.attempts.push(Attempt { server, zone, cell, sent, at_limit, alone, outcome: None });
         actions.push(Action::Send { id, server: to, timeout: Some(timeout.max(0.001)) });
     }
 
