--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -227,6 +227,23 @@
         self.requests.len()
     }
 
+    /// New settings count from now on; see [`Event::Settings`].
+    ///
+    /// # Errors
+    /// Where the module would refuse them; nothing changes then.
+    pub fn new_settings(
+        &mut self,
+        now: Millis,
+        settings: Settings,
+        classes: Vec<bool>,
+        tenants: Vec<bool>,
+    ) -> Result<(), SettingsError> {
+        settings.check()?;
+        self.effects = settings.classes.iter().map(|c| c.effect).collect();
+        self.feed(now, Event::Settings { settings: Box::new(settings), classes, tenants });
+        Ok(())
+    }
+
     /// Fails all that still await an answer, and calls their attempts off: the node ends, and an answer is better than
     /// a reset.
     pub fn fail_all(&mut self, now: Millis) {
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use glenwood_core::Token;
 use glenwood_msgpack_rpc::message;
+use glenwood_operation::places::Place;
 use glenwood_policy::Millis;
 use hyper::header::{HeaderName, HeaderValue, COOKIE, HOST};
 use hyper::{HeaderMap, Method, Uri};
@@ -38,6 +39,8 @@
 
 /// A request as it goes on to a server.
 pub struct Call {
+    /// Its class and its tenant, whose places it holds through new settings.
+    pub of: (Place, Option<Place>),
     /// The client's id for it.
     pub id: Token,
     /// Its key, where it has one.
@@ -77,8 +80,9 @@
 impl Call {
     /// What a client's repeat of it has in common with it: its key, where it has one, and else what is asked for, by whom,
     /// about what, and with which estimate. Its id is new in each try. `seed` keeps others from making up numbers that meet.
-    pub fn alike(&self, seed: u64, tenant: Option<usize>) -> u64 {
+    pub fn alike(&self, seed: u64) -> u64 {
         let mut hash = DefaultHasher::new();
+        let tenant = self.of.1.as_ref().map(|tenant| &*tenant.name);
         (seed, tenant, self.method.as_str()).hash(&mut hash);
         if let Some(key) = &self.key {
             key.hash(&mut hash);
@@ -149,6 +153,11 @@
 mod tests {
     use super::*;
 
+    fn tenant_of(headers: &[(HeaderName, &str)]) -> Option<Place> {
+        let name = headers.iter().find(|(name, _)| *name == ORG)?.1;
+        Some(Place { number: 0, name: name.into() })
+    }
+
     fn call(id: &str, key: Option<&str>, target: &str, headers: &[(HeaderName, &str)]) -> Call {
         let token = |text: &str| Token::new(text).expect("a token");
         let mut map = HeaderMap::new();
@@ -156,24 +165,29 @@
             map.insert(name.clone(), HeaderValue::from_str(value).expect("a value"));
         }
         let (key, target) = (key.map(token), target.parse().expect("a target"));
-        Call { id: token(id), key, method: Method::GET, target, via: Via::Http(map), body: Bytes::new() }
+        let of = (Place { number: 0, name: "look".into() }, tenant_of(headers));
+        Call { of, id: token(id), key, method: Method::GET, target, via: Via::Http(map), body: Bytes::new() }
     }
 
     #[test]
     fn a_repeat_is_like_what_it_repeats_and_little_else_is() {
         let about = [(ESTIMATE, "1500"), (TXN, "t1")];
-        let first = call("t1", None, "/look/7?a=1", &about).alike(1, Some(2));
+        let first = call("t1", None, "/look/7?a=1", &about).alike(1);
         let again = call("t2", None, "/look/7?a=1", &[(ESTIMATE, "1500"), (TXN, "t2")]);
-        assert_eq!(again.alike(1, Some(2)), first, "the id is new in each try");
-        assert_ne!(again.alike(1, Some(3)), first, "another tenant");
-        assert_ne!(again.alike(2, Some(2)), first, "another node");
-        assert_ne!(call("t2", None, "/look/8?a=1", &about).alike(1, Some(2)), first, "another thing");
-        assert_ne!(call("t2", None, "/look/7?a=1", &[(ESTIMATE, "1600")]).alike(1, Some(2)), first);
+        assert_eq!(again.alike(1), first, "the id is new in each try");
+        assert_ne!(
+            call("t2", None, "/look/7?a=1", &[(ESTIMATE, "1500"), (ORG, "b")]).alike(1),
+            first,
+            "another tenant"
+        );
+        assert_ne!(again.alike(2), first, "another node");
+        assert_ne!(call("t2", None, "/look/8?a=1", &about).alike(1), first, "another thing");
+        assert_ne!(call("t2", None, "/look/7?a=1", &[(ESTIMATE, "1600")]).alike(1), first);
         let user = [(ESTIMATE, "1500"), (COOKIE, "user=u1")];
-        assert_ne!(call("t2", None, "/look/7?a=1", &user).alike(1, Some(2)), first, "about somebody else");
-        let keyed = call("t1", Some("k1"), "/pay", &about).alike(1, Some(2));
-        assert_eq!(call("t2", Some("k1"), "/pay", &[]).alike(1, Some(2)), keyed, "its key says it all");
-        assert_ne!(call("t2", Some("k2"), "/pay", &about).alike(1, Some(2)), keyed);
+        assert_ne!(call("t2", None, "/look/7?a=1", &user).alike(1), first, "about somebody else");
+        let keyed = call("t1", Some("k1"), "/pay", &about).alike(1);
+        assert_eq!(call("t2", Some("k1"), "/pay", &[]).alike(1), keyed, "its key says it all");
+        assert_ne!(call("t2", Some("k2"), "/pay", &about).alike(1), keyed);
     }
 
     #[test]
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use glenwood_settings::fields::lacks;
 use glenwood_settings::{told, Told};
 use serde_json::Value;
 
@@ -31,6 +32,8 @@
     pub told: Told,
     /// The operator's own file; all off without it.
     pub operator: Operator,
+    /// The file as it stood, without the list.
+    pub source: Value,
 }
 
 /// Descriptors where the configuration names no limit.
@@ -79,7 +82,7 @@
 /// # Errors
 /// One line that names the field, and the file where it is the operator's.
 pub fn load(operator: Option<&Path>) -> Result<Config, String> {
-    let mut config = parse(&file()?, |name| std::env::var(name).ok())?;
+    let mut config = parse(&json(&text()?)?, |name| std::env::var(name).ok())?;
     if let Some(path) = operator {
         config.operator = Operator::load(path)?;
     }
@@ -91,14 +94,29 @@
 ///
 /// # Errors
 /// One line that names the field.
-pub fn reload() -> Result<Config, String> {
-    parse(&file()?, |name| std::env::var(name).ok().filter(|_| name != "BALANCER_DISCOVERY"))
+pub fn reload(running: &Value) -> Result<Config, String> {
+    again(&text()?, running, |name| std::env::var(name).ok().filter(|_| name != "BALANCER_DISCOVERY"))
 }
 
-fn file() -> Result<Value, String> {
+/// Reads a file that is to follow on the running one. One that was written in part may still be JSON: what the running one
+/// has it must have too.
+fn again(text: &str, running: &Value, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let file = json(text)?;
+    if let Some(field) = lacks(running, &file) {
+        return Err(format!(
+            "{field}: missing, and the running configuration has it; to drop it takes a new start"
+        ));
+    }
+    parse(&file, env)
+}
+
+fn text() -> Result<String, String> {
     let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG: not set".to_string())?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("BALANCER_CONFIG: {path}: {e}"))?;
-    serde_json::from_str(&text).map_err(|e| format!("BALANCER_CONFIG: not JSON: {e}"))
+    std::fs::read_to_string(&path).map_err(|e| format!("BALANCER_CONFIG: {path}: {e}"))
+}
+
+fn json(text: &str) -> Result<Value, String> {
+    serde_json::from_str(text).map_err(|e| format!("BALANCER_CONFIG: not JSON: {e}"))
 }
 
 /// Reads a configuration; what the environment names goes before what the file says.
@@ -122,6 +140,10 @@
         None | Some(Value::Null) => None,
         Some(known) => Some(list::update(known.clone()).map_err(|e| format!("known: {e}"))?),
     };
+    let mut source = value.clone();
+    if let Some(fields) = source.as_object_mut() {
+        fields.remove("known");
+    }
     let told = told(value.get("settings").unwrap_or(&Value::Null)).map_err(|e| format!("settings: {e}"))?;
     Ok(Config {
         name: text("name")?.1,
@@ -135,6 +157,7 @@
         known,
         told,
         operator: Operator::default(),
+        source,
     })
 }
 
@@ -149,3 +172,93 @@
     }
     Ok(count.min(1 << 20) as usize)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const FILE: &str = r#"{"name":"n0","listen":"127.0.0.1:9000","discovery":"127.0.0.1:8500","seed":"1",
+        "limits":{"memory_mb":48,"sockets":384},"known":null,
+        "settings":{"Me":0,"PeersTotal":1,"Discovery":"subscribe",
+            "Classes":[{"Name":"look","Slo":100,"Deadline":500,"Value":1,"Idempotency":"pure"},
+                {"Name":"pay","Slo":100,"Deadline":500,"Value":1,"Idempotency":"token","DedupScope":"all","MemorySpan":9}],
+            "Customers":[{"Name":"acme","QuotaPerS":5}],
+            "Limits":{"AttemptsCap":3,"ConnectTimeout":50},
+            "Contract":{"ColdShare":0.2,"WarmWithin":5000,"FallMultiple":3,"Fall":2000}}}"#;
+
+    fn running() -> Value {
+        parse(&json(FILE).expect("JSON"), |_| None).expect("good").source
+    }
+
+    fn follows(text: &str) -> Result<Config, String> {
+        again(text, &running(), |_| None)
+    }
+
+    #[test]
+    fn a_file_that_is_cut_anywhere_is_turned_down() {
+        assert!(follows(FILE).is_ok());
+        for cut in 0..FILE.len() {
+            assert!(follows(&FILE[..cut]).is_err(), "cut at {cut}");
+        }
+    }
+
+    #[test]
+    fn a_file_that_lacks_any_one_field_is_turned_down() {
+        /// Every path to a field, but for the list, which may be there or not.
+        fn paths(value: &Value, at: &str, all: &mut Vec<String>) {
+            match value {
+                Value::Object(fields) => {
+                    fields.iter().filter(|(key, _)| *key != "known").for_each(|(key, value)| {
+                        all.push(format!("{at}/{key}"));
+                        paths(value, &format!("{at}/{key}"), all);
+                    })
+                }
+                Value::Array(entries) => {
+                    entries.iter().enumerate().for_each(|(n, value)| paths(value, &format!("{at}/{n}"), all));
+                }
+                _ => {}
+            }
+        }
+        let whole = json(FILE).expect("JSON");
+        let mut all = Vec::new();
+        paths(&whole, "", &mut all);
+        assert!(all.len() > 25, "{all:?}");
+        for path in all {
+            let (parent, key) = path.rsplit_once('/').expect("a path");
+            let mut file = whole.clone();
+            file.pointer_mut(parent).and_then(Value::as_object_mut).expect("an object").remove(key);
+            let said = follows(&file.to_string()).err();
+            // What only some classes have is asked of those by their own kind; where it is not, it has a default.
+            if !["DedupScope", "MemorySpan"].contains(&key) {
+                assert!(said.is_some_and(|words| words.contains(key)), "{path}");
+            }
+        }
+    }
+
+    #[test]
+    fn values_that_make_no_sense_are_turned_down_by_name() {
+        for (from, to, field) in [
+            ("\"Deadline\":500", "\"Deadline\":0", "Deadline"),
+            ("\"Deadline\":500", "\"Deadline\":-5", "Deadline"),
+            ("\"Deadline\":500", "\"Deadline\":\"500\"", "Deadline"),
+            ("\"Deadline\":500", "\"Deadline\":null", "Deadline"),
+            ("\"Deadline\":500", "\"Deadline\":NaN", "not JSON"),
+            ("\"Deadline\":500", "\"Deadline\":1e999", "not JSON"),
+            ("\"AttemptsCap\":3", "\"AttemptsCap\":0", "attempts"),
+            ("\"AttemptsCap\":3", "\"AttemptsCap\":-1", "AttemptsCap"),
+            ("\"AttemptsCap\":3", "\"AttemptsCap\":2.5", "AttemptsCap"),
+            ("\"Slo\":100", "\"Slo\":0", "aim"),
+            ("\"pay\"", "\"look\"", "twice"),
+            ("[{\"Name\":\"acme\"", "[{\"Name\":\"acme\",\"QuotaPerS\":1},{\"Name\":\"acme\"", "twice"),
+            ("\"token\"", "\"maybe\"", "Idempotency"),
+            ("127.0.0.1:8500", "nowhere", "discovery"),
+        ] {
+            assert!(FILE.contains(from), "{from}");
+            let said = follows(&FILE.replace(from, to)).and_then(|config| {
+                // The module's own bounds are asked before anything is taken.
+                config.told.settings.check().map_err(|e| e.to_string())
+            });
+            assert!(said.as_ref().is_err_and(|words| words.contains(field)), "{to}: {said:?}");
+        }
+    }
+}
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use glenwood_core::{Final, Incoming as Taken, NotTaken, Token, LONGEST_WAIT};
 use glenwood_operation::figures::End;
+use glenwood_operation::places::Place;
 use glenwood_policy::{Effect, Millis, RequestId};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -74,11 +75,13 @@
         plain(status)
     } else {
         let class = class_of(hub, request.uri());
-        let read = read(hub, &sock, class, request).await;
+        let read = read(hub, &sock, class.clone(), request).await;
         // Dropped with this, where the client leaves before it has its answer.
-        let ticket = class.map(|class| hub.ticket(class));
+        let ticket = class.map(|class| hub.ticket(&class));
         let (answer, end) = match read {
-            Ok((asked, _)) if clients.all_in_use() => (refusal(hub.stay_away(asked.class)), End::Deferred),
+            Ok((asked, _)) if clients.all_in_use() => {
+                (refusal(hub.stay_away(asked.call.of.0.number)), End::Deferred)
+            }
             Ok((asked, remaining)) => {
                 sock.look_ahead(length);
                 sock.enter(Phase::Busy);
@@ -145,13 +148,13 @@
 ) -> (Response<Full<Bytes>>, End) {
     let began = hub.clock.at(arrived);
     let incoming = Taken {
-        class: asked.class,
-        tenant: asked.tenant,
+        class: asked.call.of.0.number,
+        tenant: asked.call.of.1.as_ref().map(|tenant| tenant.number),
         key: asked.call.key.clone(),
         id: asked.call.id.clone(),
         began,
         deadline: began + remaining.as_secs_f64() * 1000.0,
-        alike: Some(asked.call.alike(hub.config.seed, asked.tenant)),
+        alike: Some(asked.call.alike(hub.config.seed)),
         work: asked.call.work(),
         payload: Rc::new(asked.call),
     };
@@ -220,8 +223,6 @@
 
 /// A request that was read whole and can be taken.
 struct Asked {
-    class: usize,
-    tenant: Option<usize>,
     call: Call,
 }
 
@@ -254,18 +255,19 @@
 }
 
 /// The class that a request's path names, where there is such a class.
-fn class_of(hub: &Hub, uri: &Uri) -> Option<usize> {
+fn class_of(hub: &Hub, uri: &Uri) -> Option<Place> {
     let name = uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-    hub.config.told.classes.iter().position(|c| c == name)
+    hub.class(name)
 }
 
 async fn read(
     hub: &Hub,
     sock: &Sock,
-    class: Option<usize>,
+    class: Option<Place>,
     request: Request<Incoming>,
 ) -> Result<(Asked, Duration), Bad> {
-    let told = &hub.config.told;
+    // What counts when its head has come counts for it.
+    let told = hub.told();
     let (parts, body) = request.into_parts();
     let bodied = !hyper::body::Body::is_end_stream(&body);
     // Nothing more is read of one whose end is in doubt, or that has a body where none may be.
@@ -280,10 +282,10 @@
         return Err(unread(StatusCode::PAYLOAD_TOO_LARGE));
     }
     let class = class.ok_or_else(|| unread(StatusCode::NOT_FOUND))?;
-    let checked = check(&parts.method, &parts.headers, told.settings.classes[class].effect);
+    let checked = check(&parts.method, &parts.headers, told.settings.classes[class.number].effect);
     let (id, key, remaining) = checked.map_err(|bad| unread(bad.status))?;
     let tenant = header(&parts.headers, &ORG).ok().flatten();
-    let tenant = tenant.and_then(|org| told.tenants.iter().position(|t| t == org));
+    let tenant = tenant.and_then(|org| hub.tenant(org));
     let mut uri = Uri::builder();
     if let Some(path) = parts.uri.path_and_query() {
         uri = uri.path_and_query(path.clone());
@@ -301,8 +303,16 @@
     if !headers.contains_key(HOST) {
         headers.insert(HOST, HeaderValue::from_static("service.internal"));
     }
-    let call = Call { id, key, method: parts.method, target: uri, via: Via::Http(headers), body };
-    Ok((Asked { class, tenant, call }, remaining))
+    let call = Call {
+        of: (class, tenant),
+        id,
+        key,
+        method: parts.method,
+        target: uri,
+        via: Via::Http(headers),
+        body,
+    };
+    Ok((Asked { call }, remaining))
 }
 
 /// Checks what a request must bring, and gives its id, its key and its time.
--- a/crates/node/src/front/msgpack.rs
+++ b/crates/node/src/front/msgpack.rs
@@ -11,6 +11,7 @@
 use glenwood_msgpack_rpc::message::{Answer, Call as Asked, Code, ErrorReply};
 use glenwood_msgpack_rpc::server::{self, Connection, Event, Limits};
 use glenwood_operation::figures::End;
+use glenwood_operation::places::Place;
 use glenwood_policy::{Effect, Millis, RequestId};
 use hyper::{Method, Uri};
 use tokio::sync::Notify;
@@ -183,8 +184,8 @@
                 Some(Event::Call { id, call }) => self.take(conn, id, call),
                 Some(Event::Surplus { id, class }) => {
                     let class = self.class(&class);
-                    let ticket = class.map(|class| self.hub.ticket(class));
-                    let class = class.unwrap_or(0);
+                    let ticket = class.as_ref().map(|class| self.hub.ticket(class));
+                    let class = class.map_or(0, |class| class.number);
                     let refusal = server::surplus(advice(self.hub.stay_away(class)));
                     conn.machine.borrow_mut().answer(id, &Err(refusal));
                     ticket.into_iter().for_each(|ticket| ticket.end(End::Deferred));
@@ -209,8 +210,8 @@
         }
     }
 
-    fn class(&self, name: &str) -> Option<usize> {
-        self.hub.config.told.classes.iter().position(|c| c == name)
+    fn class(&self, name: &str) -> Option<Place> {
+        self.hub.class(name)
     }
 
     /// Takes a call in, or answers it at once.
@@ -220,7 +221,7 @@
             return conn.machine.borrow_mut().answer(id, &word);
         }
         let began = Instant::now();
-        let mut ticket = self.class(&asked.class).map(|class| self.hub.ticket(class));
+        let mut ticket = self.class(&asked.class).map(|class| self.hub.ticket(&class));
         let answer = match self.check(asked, began) {
             Err(bad) => Err(bad),
             Ok(incoming) if self.clients.all_in_use() || !self.has_memory(incoming.payload.body.len()) => {
@@ -263,7 +264,7 @@
 
     /// Checks what a call must bring, by the same bounds as a request over HTTP.
     fn check(&self, asked: Asked, began: Instant) -> Result<Incoming<Rc<Call>>, ErrorReply> {
-        let told = &self.hub.config.told;
+        let told = self.hub.told();
         let Some(class) = self.class(&asked.class) else {
             return Err(ErrorReply::new(Code::UnknownClass, "method: no such class"));
         };
@@ -288,7 +289,7 @@
         };
         let id = token(asked.txn, "txn")?;
         let remaining = asked.remaining_ms.ok_or_else(|| bad("remaining_ms: missing"))?;
-        let effect = told.settings.classes[class].effect;
+        let effect = told.settings.classes[class.number].effect;
         let key = match effect {
             Effect::Keyed { .. } => Some(token(asked.key, "key")?),
             Effect::Safe | Effect::Unsafe => None,
@@ -304,17 +305,24 @@
         let target: Uri = format!("/{}{}", asked.class, asked.path)
             .parse()
             .map_err(|_| bad("path: not a path and query"))?;
-        let tenant = org.as_deref().and_then(|org| told.tenants.iter().position(|t| t == org));
+        let tenant = org.as_deref().and_then(|org| self.hub.tenant(org));
         let began = self.hub.clock.at(began);
         let deadline = began + remaining.min(LONGEST_WAIT as u64) as f64;
         // What is kept of the message must not be all of it, where the body is a small part.
         let body = if asked.body.len() < 1024 { Bytes::copy_from_slice(&asked.body) } else { asked.body };
-        let call =
-            Call { id: id.clone(), key: key.clone(), method, target, via: Via::Rpc { org, user }, body };
-        let alike = Some(call.alike(self.hub.config.seed, tenant));
+        let call = Call {
+            of: (class.clone(), tenant.clone()),
+            id: id.clone(),
+            key: key.clone(),
+            method,
+            target,
+            via: Via::Rpc { org, user },
+            body,
+        };
+        let alike = Some(call.alike(self.hub.config.seed));
         Ok(Incoming {
-            class,
-            tenant,
+            class: class.number,
+            tenant: tenant.map(|tenant| tenant.number),
             key,
             id,
             began,
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -9,7 +9,9 @@
 use glenwood_core::{AttemptId, Core, Ended, Final, Incoming, NotTaken, Output};
 use glenwood_list::{Merge, Source, Succession};
 use glenwood_operation::figures::{End, Shared, Ticket};
+use glenwood_operation::places::{Place as Seat, Places, Turn};
 use glenwood_policy::{Millis, Outcome, RequestId, ServerId, SettingsError};
+use glenwood_settings::Told;
 use glenwood_trace::{Answer, Doing, Record};
 use tokio::sync::Notify;
 
@@ -56,6 +58,15 @@
     }
 }
 
+/// What stands in each place: of those that vanished, what stood there before.
+fn seated<T: Clone>(turns: &[Turn], old: &[T], new: &[T]) -> Vec<T> {
+    let of = |(place, turn): (usize, &Turn)| match turn {
+        Turn::Stays(n) | Turn::Begins(n) => new[*n].clone(),
+        Turn::Vanished => old[place].clone(),
+    };
+    turns.iter().enumerate().map(of).collect()
+}
+
 fn word(answer: &Final<Reply>) -> Answer {
     match answer {
         Final::Served(_) => Answer::Served,
@@ -83,6 +94,10 @@
     pub closing: Cell<bool>,
     /// Set when what is still open is failed: nothing more is taken.
     pub failing: Cell<bool>,
+    /// The settings that count, by places.
+    told: RefCell<Rc<Told>>,
+    classes: RefCell<Places>,
+    tenants: RefCell<Places>,
     core: RefCell<Core<Rc<Call>, Reply>>,
     waiters: RefCell<HashMap<RequestId, Waiter>>,
     servers: RefCell<Servers>,
@@ -113,7 +128,12 @@
     /// # Errors
     /// Where the module refuses the settings.
     pub fn new(config: Config) -> Result<Rc<Self>, SettingsError> {
-        let core = Core::new(config.told.settings.clone(), config.seed, config.told.open_cap)?;
+        let told = config.told.clone();
+        let core = Core::new(told.settings.clone(), config.seed, told.open_cap)?;
+        let (mut classes, mut tenants) = (Places::default(), Places::default());
+        // All are new, and take the places in their order.
+        classes.follow(&told.classes);
+        tenants.follow(&told.tenants);
         let hub = Rc::new(Self {
             clock: Clock::default(),
             figures: Shared::default(),
@@ -121,6 +141,9 @@
             listening: Cell::new(false),
             closing: Cell::new(false),
             failing: Cell::new(false),
+            told: RefCell::new(Rc::new(told)),
+            classes: RefCell::new(classes),
+            tenants: RefCell::new(tenants),
             core: RefCell::new(core),
             waiters: RefCell::default(),
             servers: RefCell::new(Servers::new(config.operator.marks())),
@@ -137,8 +160,7 @@
             rearmed: Notify::new(),
             config,
         });
-        let names = hub.config.told.classes.iter().map(String::as_str);
-        hub.figures.with(|figures| figures.have_classes(names));
+        hub.figures.with(|figures| figures.have_classes(hub.config.told.classes.iter().map(String::as_str)));
         Ok(hub)
     }
 
@@ -278,8 +300,43 @@
     // ---- Who operates ----
 
     /// A request of this class was read, and may be answered at once; it ends with its ticket.
-    pub fn ticket(&self, class: usize) -> Ticket {
-        self.figures.take(self.config.told.classes.get(class).map_or("", String::as_str))
+    pub fn ticket(&self, class: &Seat) -> Ticket {
+        self.figures.take(&class.name)
+    }
+
+    /// The settings that count now; classes and tenants stand in them by their places.
+    pub fn told(&self) -> Rc<Told> {
+        self.told.borrow().clone()
+    }
+
+    /// The class of that name, if the settings have it.
+    pub fn class(&self, name: &str) -> Option<Seat> {
+        self.classes.borrow().find(name)
+    }
+
+    /// The tenant of that name, if the settings have it.
+    pub fn tenant(&self, name: &str) -> Option<Seat> {
+        self.tenants.borrow().find(name)
+    }
+
+    /// Takes new settings over, whole or not at all. What was read of a request before keeps the place of its class.
+    ///
+    /// # Errors
+    /// Where the module would refuse them.
+    pub fn new_settings(&self, mut new: Told) -> Result<(), SettingsError> {
+        new.settings.check()?;
+        let old = self.told();
+        // How the list comes is what the node is made of: that waits for the next start.
+        new.settings.discovery = old.settings.discovery;
+        self.figures.with(|figures| figures.have_classes(new.classes.iter().map(String::as_str)));
+        let classes = self.classes.borrow_mut().follow(&new.classes);
+        let tenants = self.tenants.borrow_mut().follow(&new.tenants);
+        new.settings.classes = seated(&classes, &old.settings.classes, &new.settings.classes);
+        new.settings.tenants = seated(&tenants, &old.settings.tenants, &new.settings.tenants);
+        let anew = |turns: &[Turn]| turns.iter().map(|turn| !matches!(turn, Turn::Stays(_))).collect();
+        let (classes, tenants, settings) = (anew(&classes), anew(&tenants), new.settings.clone());
+        self.told.replace(Rc::new(new));
+        self.tell(|core, now| core.new_settings(now, settings, classes, tenants))
     }
 
     /// Writes down what is not counted as it happens.
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -8,6 +8,7 @@
 
 use glenwood_core::{AttemptId, Ended};
 use glenwood_policy::{Discovery, Outcome, ServerId};
+use serde_json::Value;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{spawn_local, AbortHandle};
@@ -54,6 +55,8 @@
     msgpack: Rc<msgpack::Servers>,
     /// Where discovery is now; a reload moves it.
     discovery: Cell<SocketAddr>,
+    /// The file of the configuration that counts.
+    source: RefCell<Value>,
     /// The call to discovery that is out.
     call: RefCell<Option<AbortHandle>>,
 }
@@ -173,6 +176,7 @@
         http1: http1::Servers::new(hub.clone(), descriptors.clone()),
         msgpack: msgpack::Servers::new(hub.clone(), descriptors.clone()),
         discovery: Cell::new(hub.config.discovery),
+        source: RefCell::new(hub.config.source.clone()),
         call: RefCell::default(),
         hub: hub.clone(),
     });
@@ -239,15 +243,27 @@
     Ok(())
 }
 
-/// Takes over what a new configuration says of discovery, also while the node stops. A file that can't be read
+/// Takes over what a new configuration says of discovery and the settings, also while the node stops. A file that can't be read
 /// changes nothing. Signals that come in quick succession are one: the file is read after the last.
 async fn reload(links: Rc<Links>, mut hangup: Signal) {
     while hangup.recv().await.is_some() {
-        match config::reload() {
-            Ok(config) => {
-                log::line(format!("reload: discovery is {}", config.discovery));
-                links.discovery.set(config.discovery);
-                links.hub.discovery_moved();
+        // Nothing else happens between the reading and the last of these lines.
+        let taken = config::reload(&links.source.borrow()).and_then(|config| {
+            links.hub.new_settings(config.told).map_err(|e| format!("settings: {e}"))?;
+            Ok((config.discovery, config.source))
+        });
+        links
+            .hub
+            .figures
+            .with(|f| *if taken.is_ok() { &mut f.conf_loaded } else { &mut f.conf_invalid } += 1);
+        match taken {
+            Ok((discovery, source)) => {
+                links.source.replace(source);
+                log::line(format!("reload: discovery is {discovery}"));
+                // A call that stands is left alone: to ask anew costs the service, and tells nothing.
+                if links.discovery.replace(discovery) != discovery {
+                    links.hub.discovery_moved();
+                }
             }
             Err(words) => log::line(format!("reload: {words}; the old configuration stays")),
         }
@@ -286,7 +302,7 @@
     let told = Instant::now();
     let clients = &fronts.clients;
     hub.stop();
-    let killed = patience(hub.config.told.longest_deadline);
+    let killed = patience(hub.told().longest_deadline);
     let after = |before: Duration| told.elapsed() >= killed.saturating_sub(before);
     while told.elapsed() < ACCEPT || (clients.count() > 0 && !after(CLOSE_BEFORE)) {
         tokio::time::sleep(LOOK).await;
--- a/crates/node/tests/operation.rs
+++ b/crates/node/tests/operation.rs
@@ -4,7 +4,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use peers::{
     answer, config, host, request, run, until, Client, Message, Node, Peer, Registry, Say, PATIENCE,
@@ -98,7 +98,10 @@
         })
         .collect();
     for _ in 0..5 {
+        let asked = Instant::now();
         assert_eq!(get(door, "/ready").0, 200);
+        // Left to themselves the callers go after five seconds.
+        assert!(asked.elapsed() < Duration::from_secs(4), "{:?}", asked.elapsed());
     }
     assert_eq!(Client::to(&node).ask(&request("look", "t1", 5000)).status(), 200);
     drop(held);
@@ -215,6 +218,13 @@
     let asked = std::sync::atomic::AtomicUsize::new(0);
     let over = std::sync::atomic::AtomicBool::new(false);
     let (asked, over) = (&asked, &over);
+    /// Ends the clients however the test ends.
+    struct Over<'a>(&'a std::sync::atomic::AtomicBool);
+    impl Drop for Over<'_> {
+        fn drop(&mut self) {
+            self.0.store(true, std::sync::atomic::Ordering::SeqCst);
+        }
+    }
     std::thread::scope(|scope| {
         let at = old.address;
         for client in 0..3 {
@@ -232,6 +242,7 @@
                 }
             });
         }
+        let _over = Over(over);
         let count = || asked.load(std::sync::atomic::Ordering::SeqCst);
         for _ in 0..2 {
             let new = Node::listening(&told, None);
@@ -243,7 +254,6 @@
             until("requests go on", || count() > before + 20);
             old = new;
         }
-        over.store(true, std::sync::atomic::Ordering::SeqCst);
     });
     assert_eq!(peer.seen().len(), count_of(asked), "each was carried out once");
 }
@@ -270,3 +280,95 @@
     registry.down(false);
     until("it can serve", || get(door, "/ready").0 == 200);
 }
+
+/// The configuration with these classes, each as (name, effect).
+fn with_classes(config: &Value, classes: &[(&str, &str)]) -> Value {
+    let mut config = config.clone();
+    let model = config["settings"]["Classes"][0].clone();
+    let class = |(name, effect): &(&str, &str)| {
+        let mut class = model.clone();
+        (class["Name"], class["Idempotency"]) = (json!(name), json!(effect));
+        class
+    };
+    config["settings"]["Classes"] = classes.iter().map(class).collect();
+    config
+}
+
+#[test]
+fn classes_come_and_go_at_sighup_and_a_broken_file_changes_nothing() {
+    let peer = Peer::good("s0");
+    let registry = one_server(&peer);
+    let told = with_door(config(registry.address));
+    let node = Node::ready(&told);
+    let door = door(&node);
+    let ask = |class: &str, txn: &str| Client::to(&node).ask(&request(class, txn, 5000)).status();
+    assert_eq!((ask("slip", "a"), ask("look-next", "b")), (200, 404));
+    let next = with_classes(&told, &[("look-next", "side_effect"), ("look", "pure")]);
+    node.reload(&next.to_string());
+    until("it is taken", || figure(door, "node_conf_loaded") == 1);
+    let asked = request("slip", "c", 5000).replace("/slip/", "/look-next/");
+    assert_eq!(Client::to(&node).ask(&asked).status(), 200, "by its new name, with its method");
+    assert_eq!((ask("slip", "d"), ask("look", "e")), (404, 200));
+    let mut zero = next.clone();
+    zero["settings"]["Classes"][0]["Deadline"] = json!(0);
+    zero["discovery"] = json!("127.0.0.1:1");
+    let mut none = next.clone();
+    none["settings"]["Limits"]["AttemptsCap"] = json!(0);
+    let mut short = next.clone();
+    short["settings"]["Classes"][1].as_object_mut().expect("an object").remove("Slo");
+    let whole = next.to_string();
+    let broken = [
+        String::new(),
+        whole[..whole.len() / 2].into(),
+        zero.to_string(),
+        none.to_string(),
+        short.to_string(),
+    ];
+    let calls = registry.calls().len();
+    for (n, words) in (1..).zip(&broken) {
+        node.reload(words);
+        until("it is turned down", || figure(door, "node_conf_invalid") == n);
+        assert_eq!((ask("look", &format!("f{n}")), ask("pay", &format!("g{n}"))), (200, 404));
+    }
+    assert_eq!(figure(door, "node_conf_loaded"), 1);
+    assert_eq!(registry.calls().len(), calls, "the list is not asked for anew");
+    assert!(node.logged("Slo") && node.logged("the old configuration stays"));
+    // Its counts run from the process's start, though its name is no class any more.
+    assert_eq!(transactions(door, "slip", "answered"), 1);
+    assert_eq!(transactions(door, "look-next", "answered"), 1);
+}
+
+#[test]
+fn a_request_under_way_keeps_the_class_that_it_came_with() {
+    let (go, wait) = std::sync::mpsc::channel::<()>();
+    let wait = std::sync::Mutex::new(wait);
+    let peer = Peer::new(move |message: &Message| {
+        if message.path().starts_with("/slip") {
+            // The end of the other side says the same.
+            let _ = wait.lock().expect("no panic").recv();
+        }
+        Say::This(answer(200, "", "served"))
+    });
+    let registry = one_server(&peer);
+    let told = with_door(config(registry.address));
+    let node = Node::ready(&told);
+    let door = door(&node);
+    let mut under_way = Client::to(&node);
+    under_way.send(&request("slip", "a", 20_000));
+    // Half of one is there too: its head has come, which is when its class is known.
+    let mut half = Client::to(&node);
+    let whole = request("pay", "b", 20_000);
+    half.send(&whole[..whole.len() - 4]);
+    until("the first is at its server", || peer.seen().len() == 1);
+    node.reload(
+        &with_classes(&told, &[("other", "pure"), ("another", "pure"), ("look", "pure")]).to_string(),
+    );
+    until("the new settings count", || figure(door, "node_conf_loaded") == 1);
+    half.send("work");
+    assert_eq!(half.hear().map(|m| m.status()), Some(200));
+    assert_eq!(Client::to(&node).ask(&request("look", "c", 5000).replace("look", "other")).status(), 200);
+    go.send(()).expect("the server waits");
+    assert_eq!(under_way.hear().map(|m| (m.status(), m.body)), Some((200, b"served".to_vec())));
+    assert_eq!((transactions(door, "slip", "answered"), transactions(door, "pay", "answered")), (1, 1));
+    assert_eq!(transactions(door, "other", "answered"), 1);
+}
--- a/crates/operation/src/lib.rs
+++ b/crates/operation/src/lib.rs
@@ -2,3 +2,4 @@
 #![warn(missing_docs)]
 
 pub mod figures;
+pub mod places;
--- /dev/null
+++ b/crates/operation/tests/places.rs
@@ -0,0 +1,68 @@
+//! Nobody loses a place that is held, and nobody is mistaken for another.
+
+use std::collections::HashMap;
+
+use glenwood_operation::places::{Place, Places, Turn};
+use proptest::prelude::*;
+
+#[test]
+fn who_stays_keeps_the_place_and_who_is_new_takes_a_free_one() {
+    let mut places = Places::default();
+    assert_eq!(places.follow(&["a", "b"]), [Turn::Begins(0), Turn::Begins(1)]);
+    let held = places.find("a").expect("there");
+    assert_eq!(places.follow(&["c", "b"]), [Turn::Vanished, Turn::Stays(1), Turn::Begins(0)]);
+    assert_eq!((places.find("a"), held.number), (None, 0));
+    assert_eq!(places.name(0).map(|n| &**n), Some("a"), "while a request holds it");
+    drop(held);
+    assert_eq!(places.follow(&["b", "c", "d"]), [Turn::Begins(2), Turn::Stays(0), Turn::Stays(1)]);
+}
+
+#[test]
+fn who_comes_back_while_the_place_is_held_has_it_again() {
+    let mut places = Places::default();
+    places.follow(&["a"]);
+    let _held = places.find("a");
+    places.follow(&["b"]);
+    assert_eq!(places.follow(&["a", "b"]), [Turn::Stays(0), Turn::Stays(1)]);
+}
+
+#[test]
+fn ten_thousand_changes_take_no_more_places_than_are_held() {
+    let mut places = Places::default();
+    for n in 0..10_000 {
+        let turns = places.follow(&["look".to_string(), format!("class-{n}")]);
+        assert!(turns.len() <= 3, "{n}: {turns:?}");
+    }
+}
+
+proptest! {
+    #[test]
+    fn a_place_is_its_holders_until_let_go(
+        steps in prop::collection::vec((prop::collection::hash_set(0..6usize, 1..5), 0..6usize, any::<bool>()), 1..60)
+    ) {
+        let mut places = Places::default();
+        let mut held: Vec<Place> = Vec::new();
+        for (names, which, take) in steps {
+            let names: Vec<String> = names.into_iter().map(|n| format!("n{n}")).collect();
+            let before: HashMap<String, usize> =
+                names.iter().filter_map(|n| Some((n.clone(), places.find(n)?.number))).collect();
+            let turns = places.follow(&names);
+            for place in &held {
+                prop_assert_eq!(places.name(place.number), Some(&place.name));
+            }
+            for (n, name) in names.iter().enumerate() {
+                let place = places.find(name).expect("listed");
+                let turn = turns[place.number];
+                prop_assert!(turn == Turn::Stays(n) || turn == Turn::Begins(n));
+                if let Some(number) = before.get(name) {
+                    prop_assert_eq!((place.number, turn), (*number, Turn::Stays(n)));
+                }
+            }
+            if take {
+                held.extend(places.find(&format!("n{which}")));
+            } else if !held.is_empty() {
+                held.swap_remove(which % held.len());
+            }
+        }
+    }
+}
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -312,6 +312,16 @@
     },
     /// Discovery is elsewhere from now on: what was asked of it so far is void.
     DiscoveryMoved,
+    /// New settings, which count from now on: for attempts of requests that are open too, but for what a class allows, which
+    /// each request keeps as it was when it came. How the list arrives does not change.
+    Settings {
+        /// The settings. Classes and tenants that stay have the index that they had.
+        settings: Box<Settings>,
+        /// Which classes begin anew, by index: those that took the place of another one, and those at the end that are new.
+        classes: Vec<bool>,
+        /// The same of tenants.
+        tenants: Vec<bool>,
+    },
     /// A client asks for something; one final answer is owed from now on.
     Request {
         /// The request.
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -174,6 +174,8 @@
 
 struct Request {
     class: usize,
+    /// What its class allowed when it came.
+    effect: Effect,
     tenant: Option<usize>,
     in_share: bool,
     /// What a repeat of it has in common with it.
@@ -186,7 +188,7 @@
     came: Millis,
     deadline: Millis,
     attempts: Vec<Attempt>,
-    streaming: bool,
+    bound: bool,
 }
 
 struct Attempt {
@@ -250,6 +252,13 @@
     outcome == Outcome::ConnectFailed && took < 0.9 * limits.connect_timeout
 }
 
+/// Begins those anew that are marked, in their places or at the end.
+fn renew<T>(all: &mut Vec<T>, anew: &[bool], new: impl Fn(usize) -> T) {
+    for (n, _) in anew.iter().enumerate().filter(|(_, anew)| **anew) {
+        all.splice(n..all.len().min(n + 1), [new(n)]);
+    }
+}
+
 impl Server {
     fn listed_up(&self) -> bool {
         self.entry.state == Listed::Up
@@ -274,7 +283,7 @@
 impl Request {
     /// Rule 2, for every further attempt and every refusal: is it harmless by what is known of the earlier
     /// ones? `to` is the server to send to; `None` asks about a refusal.
-    fn may_repeat(&self, class: &Class, limits: &Limits, now: Millis, to: Option<&Entry>) -> bool {
+    fn may_repeat(&self, limits: &Limits, now: Millis, to: Option<&Entry>) -> bool {
         let mut ran = self.attempts.iter().filter(|a| !a.outcome.is_some_and(Outcome::never_ran));
         if to.is_some() {
             let pending = self.attempts.iter().any(|a| a.outcome.is_none());
@@ -282,7 +291,7 @@
                 return false;
             }
         }
-        match class.effect {
+        match self.effect {
             Effect::Safe => true,
             Effect::Unsafe => ran.next().is_none(),
             Effect::Keyed { group, memory } => ran.all(|a| match to {
@@ -363,14 +372,12 @@
                 self.call = Call::AskAt(now, 0)
             }
             Event::DiscoveryMoved => {}
-            Event::Request { id, class, tenant, deadline, alike, work } => {
-                let work = if self.set.by_work { self.work_of(class, work) } else { 1.0 };
-                self.on_request(id, class, tenant, deadline, alike, work, actions);
+            event @ Event::Request { .. } => self.on_request(event, actions),
+            Event::Settings { settings, classes, tenants } => {
+                self.on_settings(*settings, &classes, &tenants);
             }
             Event::Streaming { id, attempt } => self.on_streaming(id, attempt, actions),
-            Event::Ended { id, attempt, server, outcome, took, finished } => {
-                self.on_ended(id, attempt, server, outcome, took, finished, actions);
-            }
+            event @ Event::Ended { .. } => self.on_ended(event, actions),
             Event::RunsOn { id, attempt, server } => {
                 let out = self.servers.get_mut(&server).into_iter().flat_map(|s| &mut s.out);
                 // Under a number that its end does not find.
@@ -402,6 +409,19 @@
         }
     }
 
+    /// Takes over new settings. Whoever keeps its place keeps what was learned of it; the others begin anew.
+    fn on_settings(&mut self, settings: Settings, classes: &[bool], tenants: &[bool]) {
+        self.set = settings;
+        renew(&mut self.classes, classes, |n| ClassStats::new(&self.set.classes[n]));
+        renew(&mut self.class_served, classes, |_| Served::new());
+        renew(&mut self.tenant_served, tenants, |_| Served::new());
+        renew(&mut self.quotas, tenants, |_| (0.0, f64::NEG_INFINITY));
+        self.times.values_mut().for_each(|times| renew(times, classes, |_| 0.0));
+        // There may be another count of nodes: the order of the servers is made anew.
+        self.members.clear();
+        self.on_list(Vec::new(), false, false);
+    }
+
     /// For how long the client of a refused request of this class should stay away.
     pub fn stay_away(&self, class: usize) -> Millis {
         let aim = self.set.classes.get(class).map_or(0.0, |c| c.aim);
@@ -812,26 +832,18 @@
 
     // ---- Requests ----
 
-    #[allow(clippy::too_many_arguments)]
-    fn on_request(
-        &mut self,
-        id: RequestId,
-        class: usize,
-        tenant: Option<usize>,
-        deadline: Millis,
-        alike: Option<u64>,
-        work: f64,
-        actions: &mut Vec<Action>,
-    ) {
+    fn on_request(&mut self, event: Event, actions: &mut Vec<Action>) {
+        let Event::Request { id, class, tenant, deadline, alike, work } = event else { return };
         if self.requests.contains_key(&id) {
             // An id never comes twice. To answer the repeat would be to answer the first, which is still
             // owed, and to send for it afterwards.
             return;
         }
-        if class >= self.set.classes.len() {
+        let Some(effect) = self.set.classes.get(class).map(|c| c.effect) else {
             actions.push(Action::Fail(id));
             return;
-        }
+        };
+        let work = if self.set.by_work { self.work_of(class, work) } else { 1.0 };
         self.retry_budget = (self.retry_budget + RETRY_BUDGET_SHARE).min(RETRY_BUDGET_MAX);
         let size: f64 = self.rotated().map(|s| s.size * s.warmth(self.now, &self.set.rules)).sum();
         self.arrivals.add(self.now, self.set.rules.fall_window, 1.0 / size.max(1.0));
@@ -846,9 +858,9 @@
         };
         let (attempts, came) = (Vec::new(), self.now);
         let asked = (came - self.age(class, deadline)).min(first.as_ref().map_or(came, |u| u.asked));
-        let streaming = false;
+        let bound = false;
         let request =
-            Request { class, tenant, in_share, alike, work, asked, came, deadline, attempts, streaming };
+            Request { class, effect, tenant, in_share, alike, work, asked, came, deadline, attempts, bound };
         if first.is_none() {
             self.tally(&request, |care| &mut care.asked);
         }
@@ -937,8 +949,7 @@
     /// other: one that is bound to the cell of its first attempt would else be held for nothing.
     fn may_go(&self, id: RequestId, to: &Server) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
-        let class = &self.set.classes[request.class];
-        let may = |s: &Server| request.may_repeat(class, &self.set.limits, self.now, Some(&s.entry));
+        let may = |s: &Server| request.may_repeat(&self.set.limits, self.now, Some(&s.entry));
         let last = request.attempts.last().map(|a| a.server);
         let again = last == Some(to.entry.server);
         may(to) && !(again && self.rotated().any(|s| Some(s.entry.server) != last && may(s)))
@@ -973,7 +984,7 @@
 
     fn on_streaming(&mut self, id: RequestId, attempt: usize, actions: &mut Vec<Action>) {
         if let Some(request) = self.requests.get_mut(&id) {
-            request.streaming = true;
+            request.bound = true;
             for (n, a) in request.attempts.iter().enumerate() {
                 if n != attempt && a.outcome.is_none() && self.set.limits.cancel {
                     actions.push(Action::Cancel { id, attempt: n });
@@ -993,17 +1004,8 @@
         self.servers.retain(|_, s| s.entry.state != Listed::Gone || !s.out.is_empty());
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn on_ended(
-        &mut self,
-        id: RequestId,
-        attempt: usize,
-        server: ServerId,
-        outcome: Outcome,
-        took: Millis,
-        finished: bool,
-        actions: &mut Vec<Action>,
-    ) {
+    fn on_ended(&mut self, event: Event, actions: &mut Vec<Action>) {
+        let Event::Ended { id, attempt, server, outcome, took, finished } = event else { return };
         let now = self.now;
         let took = if took.is_finite() { took.max(0.0) } else { 0.0 };
         self.free(server, id, attempt);
@@ -1013,7 +1015,7 @@
         let Some(ended) = request.attempts.get_mut(attempt).filter(|a| a.outcome.is_none()) else { return };
         ended.outcome = Some(outcome);
         let (class, at_limit, alone) = (request.class, ended.at_limit, ended.alone);
-        let open = request.pending() || request.streaming;
+        let open = request.pending() || request.bound;
         self.learn(server, class, outcome, took, at_limit, alone);
         if finished {
             if let Some(request) = self.requests.remove(&id) {
@@ -1107,8 +1109,7 @@
         let end = if class.late_worth > 0.0 { request.deadline } else { self.useful_until(request) };
         let time = end - self.now > self.classes[request.class].mean;
         let free = outcome.never_ran();
-        let may =
-            self.rotated().any(|s| request.may_repeat(class, &self.set.limits, self.now, Some(&s.entry)));
+        let may = self.rotated().any(|s| request.may_repeat(&self.set.limits, self.now, Some(&s.entry)));
         if time && may && (free || self.retry_budget >= 1.0) {
             if !free {
                 self.retry_budget -= 1.0;
@@ -1123,8 +1124,7 @@
     fn conclude(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         self.remember(id);
         let Some(request) = self.requests.get(&id) else { return };
-        let class = &self.set.classes[request.class];
-        if request.may_repeat(class, &self.set.limits, self.now, None) {
+        if request.may_repeat(&self.set.limits, self.now, None) {
             let stay_away = self.stay_away(request.class);
             actions.push(Action::Refuse { id, stay_away });
         } else {
@@ -1137,7 +1137,7 @@
     fn forget(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         if let Some(request) = self.requests.remove(&id) {
             for (attempt, a) in request.attempts.iter().enumerate() {
-                if a.outcome.is_none() && self.set.limits.cancel && !request.streaming {
+                if a.outcome.is_none() && self.set.limits.cancel && !request.bound {
                     actions.push(Action::Cancel { id, attempt });
                 }
             }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -25,11 +25,16 @@
         "side_effect" => Effect::Unsafe,
         other => return Err(format!("Idempotency: {other} is unknown")),
     };
+    // Absent, a client's patience is not told; null says nothing.
+    let patience = f.number_or("Deadline", f64::INFINITY)?;
+    if patience.is_nan() || patience <= 0.0 {
+        return Err(format!("Deadline: above 0 expected, not {patience}"));
+    }
     let class = Class {
         aim: f.number("Slo")?,
         worth: f.number_or("Value", 1.0)?,
         late_worth: f.number_or("LateValue", 0.0)?,
-        patience: f.number_or("Deadline", f64::INFINITY)?,
+        patience,
         effect,
     };
     Ok((text(f.need("Name")?, "Name")?.to_string(), class))
@@ -52,6 +57,12 @@
     pub open_cap: usize,
 }
 
+/// Two of one name could not be told apart.
+fn once(names: &[String], of: &str) -> Result<(), FieldError> {
+    let twice = names.iter().enumerate().find(|(n, name)| names[..*n].contains(name));
+    twice.map_or(Ok(()), |(_, name)| Err(format!("{of}: {name} stands there twice")))
+}
+
 /// Reads the settings object that an instance, or a node on sockets, is given.
 ///
 /// # Errors
@@ -60,7 +71,8 @@
     let f = Fields::of(value, "Options")?;
     let classes = f.list("Classes")?.iter().map(class).collect::<Result<Vec<_>, _>>()?;
     let longest_deadline = classes.iter().map(|c| c.1.patience).fold(0.0, f64::max);
-    let (class_names, classes) = classes.into_iter().unzip();
+    let (class_names, classes): (Vec<String>, _) = classes.into_iter().unzip();
+    once(&class_names, "Classes")?;
     let mut tenants = Vec::new();
     let mut tenant_names = Vec::new();
     for value in f.list("Customers")? {
@@ -68,6 +80,7 @@
         tenant_names.push(text(t.need("Name")?, "Name")?.to_string());
         tenants.push(Tenant { quota_per_s: t.number("QuotaPerS")? });
     }
+    once(&tenant_names, "Customers")?;
     let l = Fields::of(f.need("Limits")?, "Limits")?;
     let r = Fields::of(f.need("Contract")?, "Contract")?;
     let empty = Value::Object(Map::new());
