--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -45,6 +45,8 @@
 pub enum Ended<R> {
     /// The server's answer.
     Served(R),
+    /// The server's answer, of which more is to come: it holds its place there until [`Core::attempt_left`].
+    Flows(R),
     /// No answer that is the client's. [`Outcome::Done`] can't be meant, and counts as an error.
     Without(Outcome),
     /// Given up, but the server can't be told so and works on: it holds its place there until
@@ -316,10 +318,10 @@
         let Some(open) = self.requests.get_mut(&request) else { return };
         let Some(tried) = open.tries.get_mut(number).filter(|t| t.stage == Stage::Out) else { return };
         let (server, took) = (tried.server, now - tried.sent);
-        let runs_on = matches!(ended, Ended::RunsOn(_));
+        let runs_on = matches!(ended, Ended::RunsOn(_) | Ended::Flows(_));
         tried.stage = if runs_on { Stage::RunsOn } else { Stage::Over };
         let outcome = match ended {
-            Ended::Served(reply) => {
+            Ended::Served(reply) | Ended::Flows(reply) => {
                 self.give(request, Final::Served(reply));
                 Outcome::Done
             }
--- a/crates/node/src/backend/http1.rs
+++ b/crates/node/src/backend/http1.rs
@@ -4,24 +4,25 @@
 use std::collections::HashMap;
 use std::future::Future;
 use std::io::ErrorKind;
-use std::pin::pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use glenwood_core::{AttemptId, Ended};
 use glenwood_policy::{Outcome, ServerId};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
-use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
-use hyper::{HeaderMap, Request, StatusCode, Uri};
+use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Request, StatusCode, Uri, Version};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::{timeout, timeout_at};
+use tokio::time::{timeout, timeout_at, Sleep};
 
 use super::{Descriptors, Held, Idle, OWN_ERRORS};
-use crate::call::{Call, Reply, BODY_MOST, REMAINING};
+use crate::call::{Call, Content, Cut, Reply, BODY_MOST, LARGE_MOST, REMAINING};
 use crate::config::Config;
 use crate::headers::end_to_end;
 use crate::hub::Hub;
@@ -37,6 +38,9 @@
 /// From when on an attempt counts as long unheard: beyond what is usual for an answer. Too soon costs new connections.
 const UNHEARD: Duration = Duration::from_millis(400);
 
+/// How long a server may say nothing in the middle of an answer that flows. Nothing is cut off that still comes.
+const STALLED: Duration = Duration::from_secs(5);
+
 /// Turned away unseen.
 const TURNED_AWAY: HeaderName = HeaderName::from_static("x-turned-away");
 
@@ -45,6 +49,8 @@
     sock: Rc<Sock>,
     send: SendRequest<Full<Bytes>>,
     conn: Connection<Io, Full<Bytes>>,
+    /// It has ended, and must not be polled any more.
+    over: bool,
     /// Whom it leads to.
     place: Place,
     since: Instant,
@@ -197,7 +203,7 @@
         let sock = Sock::new(stream).map_err(|_| failed)?;
         let builder = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(Io(sock.clone())).await;
         let (send, conn) = builder.map_err(|_| failed)?;
-        Ok(Link { sock, send, conn, place, since: Instant::now(), _held: held })
+        Ok(Link { sock, send, conn, over: false, place, since: Instant::now(), _held: held })
     }
 }
 
@@ -263,9 +269,8 @@
         let servers = self.clone();
         let task = tokio::task::spawn_local(async move {
             let message = Message::Call(call);
-            let (outcome, reply) = exchange(&servers, server, end, &message).await;
+            let ended = exchange(&servers, server, end, &message, Some(attempt)).await;
             servers.out.borrow_mut().remove(&attempt);
-            let ended = reply.map_or(Ended::Without(outcome), Ended::Served);
             servers.hub.attempt_ended(attempt, ended);
         });
         self.out.borrow_mut().insert(attempt, task.abort_handle());
@@ -286,7 +291,10 @@
             let sent = Instant::now();
             // As long as a connection may take, and as long again for the answer.
             let end = sent + 2 * servers.pool.connect;
-            let (outcome, _) = exchange(&servers, server, end, &Message::Probe).await;
+            let outcome = match exchange(&servers, server, end, &Message::Probe, None).await {
+                Ended::Served(_) | Ended::Flows(_) => Outcome::Done,
+                Ended::Without(outcome) | Ended::RunsOn(outcome) => outcome,
+            };
             servers.hub.probed(server, outcome, sent.elapsed());
         });
     }
@@ -302,18 +310,19 @@
     }
 }
 
-/// One request to a server, and how it ended.
+/// One request to a server, and how it ended. Who asks for an attempt may be given an answer that flows.
 async fn exchange(
-    servers: &Servers,
+    servers: &Rc<Servers>,
     server: ServerId,
     end: Instant,
     message: &Message,
-) -> (Outcome, Option<Reply>) {
+    attempt: Option<AttemptId>,
+) -> Ended<Reply> {
     let (hub, pool) = (&servers.hub, &servers.pool);
     let mut pooled = if matches!(message, Message::Probe) { None } else { pool.take(server) };
     loop {
         // A drain holds from the moment it is told, also for what waited on a connection until now.
-        let Some(place) = hub.place(server) else { return (Outcome::NotSent, None) };
+        let Some(place) = hub.place(server) else { return Ended::Without(Outcome::NotSent) };
         pooled = pooled.filter(|link| link.place == place);
         let reused = pooled.is_some();
         let link = match pooled.take() {
@@ -325,10 +334,10 @@
         };
         let mut link = match link {
             Ok(link) => link,
-            Err(outcome) => return (outcome, None),
+            Err(outcome) => return Ended::Without(outcome),
         };
         if hub.place(server) != Some(place) {
-            return (Outcome::NotSent, None);
+            return Ended::Without(Outcome::NotSent);
         }
         let sent = Instant::now();
         let expected = pool.expect(server);
@@ -344,55 +353,219 @@
         if ended.is_err() && whole && !link.sock.heard_any() {
             pool.distrust(server, sent);
         }
-        match ended {
+        return Ended::Without(match ended {
             // A kept connection that was closed before the first byte was written: nothing was sent, so this
             // is still the same attempt.
             Ok(Err(_)) if reused && !any => continue,
             Ok(Ok(heard)) => {
                 pool.heard(server, sent);
-                // One that has more to read than the answer would answer the next request with it.
-                if heard.keep
-                    && whole
-                    && link.sock.heard_just(heard.reply.body.len(), heard.chunked)
-                    && link.sock.quiet()
-                    // Busy while its server moved or restarted, it escaped the pool's forgetting.
-                    && hub.place(server) == Some(place)
-                {
-                    pool.put(server, link);
-                }
-                return heard.judge();
+                return heard.ends(servers, server, link, attempt);
             }
-            Ok(Err(Broken::Link)) if whole => return (Outcome::Reset, None),
-            Ok(Err(Broken::Garbled)) if whole => return (Outcome::Error, None),
-            Ok(Err(_)) => return (Outcome::ConnectFailed, None),
+            Ok(Err(Broken::Link)) if whole => Outcome::Reset,
+            Ok(Err(Broken::Garbled)) if whole => Outcome::Error,
+            Ok(Err(_)) => Outcome::ConnectFailed,
             // A kept connection that is dead must not pass for a slow server: that would eject it, and lower its limit,
             // for each connection that was kept. One that is slow with all it has is not overtaken.
             Err(_) if whole && reused && !link.sock.heard_any() && pool.overtaken(server, sent) => {
-                return (Outcome::Unheard, None)
+                Outcome::Unheard
             }
-            Err(_) if whole => return (Outcome::TimedOut, None),
-            Err(_) => return (Outcome::NotSent, None),
-        }
+            Err(_) if whole => Outcome::TimedOut,
+            Err(_) => Outcome::NotSent,
+        });
     }
 }
 
-/// What a server answered.
+/// How an answer says where it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    /// By its length.
+    Length(u64),
+    /// By its last chunk.
+    Chunked,
+    /// With its connection.
+    Close,
+}
+
+impl Framing {
+    /// Does it say by itself that the answer is too long to be read whole?
+    fn is_long(self) -> bool {
+        matches!(self, Self::Length(length) if length > BODY_MOST as u64)
+    }
+}
+
+/// What a server answered, as far as it was read.
 struct Heard {
     status: StatusCode,
-    reply: Reply,
+    headers: HeaderMap,
+    framing: Framing,
+    /// What was read of the body ...
+    read: Bytes,
+    /// ... and the rest, where it is too long to be read whole.
+    rest: Option<Incoming>,
+    /// The connection may carry another request.
     keep: bool,
-    chunked: bool,
 }
 
 impl Heard {
-    fn judge(self) -> (Outcome, Option<Reply>) {
-        let away = self.reply.headers.get(TURNED_AWAY).is_some_and(|v| v == "1");
+    fn judge(&self) -> Outcome {
+        let away = self.headers.get(TURNED_AWAY).is_some_and(|v| v == "1");
         match self.status {
-            StatusCode::OK => (Outcome::Done, Some(self.reply)),
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if away => (Outcome::Full, None),
+            StatusCode::OK => Outcome::Done,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if away => Outcome::Full,
             // Bad clients send much that only a server can tell from good: no other server will like it better.
-            StatusCode::BAD_REQUEST => (Outcome::Rejected, None),
-            _ => (Outcome::Error, None),
+            StatusCode::BAD_REQUEST => Outcome::Rejected,
+            _ => Outcome::Error,
+        }
+    }
+
+    /// How the attempt ends with this. The connection is kept, or goes on with what is still to come.
+    fn ends(
+        self,
+        servers: &Rc<Servers>,
+        server: ServerId,
+        link: Link,
+        attempt: Option<AttemptId>,
+    ) -> Ended<Reply> {
+        let outcome = self.judge();
+        let Some(rest) = self.rest else {
+            if self.keep {
+                put_back(servers, server, link, self.read.len(), self.framing);
+            }
+            return match outcome {
+                Outcome::Done => {
+                    Ended::Served(Reply { headers: self.headers, body: Content::Whole(self.read) })
+                }
+                outcome => Ended::Without(outcome),
+            };
+        };
+        match (outcome, attempt) {
+            (Outcome::Done, Some(attempt)) => {
+                let flow = Flowing {
+                    first: self.read,
+                    rest,
+                    framing: self.framing,
+                    came: 0,
+                    keep: self.keep,
+                    link: Some(link),
+                    server,
+                    attempt,
+                    servers: servers.clone(),
+                    stalled: Box::pin(tokio::time::sleep(STALLED)),
+                };
+                Ended::Flows(Reply { headers: self.headers, body: Content::Flow(Box::pin(flow)) })
+            }
+            // Nobody asked a probe for so much.
+            (Outcome::Done, None) => Ended::Without(Outcome::Error),
+            (outcome, _) => Ended::Without(outcome),
+        }
+    }
+}
+
+/// Keeps a connection whose answer was read to its end: one that has more to read than that would answer the next request
+/// with it.
+fn put_back(servers: &Servers, server: ServerId, link: Link, length: usize, framing: Framing) {
+    if link.sock.whole()
+        && link.sock.heard_just(length, framing == Framing::Chunked)
+        && link.sock.quiet()
+        // Busy while its server moved or restarted, it escaped the pool's forgetting.
+        && servers.hub.place(server) == Some(link.place)
+    {
+        servers.pool.put(server, link);
+    }
+}
+
+/// The body of an answer too long to be read whole: the one who writes it on reads it. Its connection goes with it, and its
+/// place at the server.
+struct Flowing {
+    first: Bytes,
+    rest: Incoming,
+    framing: Framing,
+    /// How much was passed on so far.
+    came: usize,
+    keep: bool,
+    /// The connection; `None` once the last byte has come.
+    link: Option<Link>,
+    server: ServerId,
+    attempt: AttemptId,
+    servers: Rc<Servers>,
+    /// When a server that says nothing more is given up.
+    stalled: Pin<Box<Sleep>>,
+}
+
+impl Flowing {
+    /// Passes on what came; the connection goes back where that was the last of it.
+    fn pass(&mut self, data: Bytes) -> Result<Frame<Bytes>, Cut> {
+        self.came += data.len();
+        if self.came > LARGE_MOST {
+            return Err(Cut);
+        }
+        self.stalled.as_mut().reset((Instant::now() + STALLED).into());
+        if self.framing == Framing::Length(self.came as u64) {
+            self.end();
+        }
+        Ok(Frame::data(data))
+    }
+
+    fn end(&mut self) {
+        let Some(link) = self.link.take() else { return };
+        if self.keep {
+            put_back(&self.servers, self.server, link, self.came, self.framing);
+        }
+        self.servers.hub.flowed(self.attempt);
+    }
+}
+
+impl Drop for Flowing {
+    fn drop(&mut self) {
+        // What is left of its connection is of no use, and its server sees that nobody waits.
+        if self.link.take().is_some() {
+            self.servers.hub.flowed(self.attempt);
+        }
+    }
+}
+
+impl Body for Flowing {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        if !self.first.is_empty() {
+            let first = std::mem::take(&mut self.first);
+            return Poll::Ready(Some(self.pass(first)));
+        }
+        loop {
+            let Some(link) = self.link.as_mut() else { return Poll::Ready(None) };
+            // Once over, what it had to say has been handed on.
+            if !link.over {
+                link.over = Pin::new(&mut link.conn).poll(cx).is_ready();
+            }
+            match Pin::new(&mut self.rest).poll_frame(cx) {
+                Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) if !data.is_empty() => return Poll::Ready(Some(self.pass(data))),
+                    // Trailers are the connection's.
+                    _ => {}
+                },
+                Poll::Ready(Some(Err(_))) => return Poll::Ready(Some(Err(Cut))),
+                Poll::Ready(None) => {
+                    self.end();
+                    return Poll::Ready(None);
+                }
+                Poll::Pending if self.stalled.as_mut().poll(cx).is_ready() => {
+                    return Poll::Ready(Some(Err(Cut)))
+                }
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.link.is_none() && self.first.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self.framing {
+            Framing::Length(length) => SizeHint::with_exact(length - self.came as u64),
+            Framing::Chunked | Framing::Close => SizeHint::default(),
         }
     }
 }
@@ -417,58 +590,80 @@
     }
 }
 
-/// Writes a request and reads the answer whole. A second request on the connection is never begun here, and
-/// nothing is sent again.
+/// Writes a request and reads the answer, whole or until it is too long for that. A second request on the connection is
+/// never begun here, and nothing is sent again.
 async fn converse(link: &mut Link, request: Request<Full<Bytes>>) -> Result<Heard, Broken> {
-    let Link { send, conn, .. } = link;
+    let Link { send, conn, over, .. } = link;
     let talk = async {
         send.ready().await?;
         let answer = send.send_request(request).await?;
-        let (parts, body) = answer.into_parts();
-        if !framed_once(&parts.headers) {
+        let closes = answer.version() == Version::HTTP_10 || says_close(answer.headers());
+        let (parts, mut body) = answer.into_parts();
+        let framing = framing_of(&parts.headers, closes).ok_or(Broken::Garbled)?;
+        if matches!(framing, Framing::Length(length) if length > LARGE_MOST as u64) {
             return Err(Broken::Garbled);
         }
-        let body = Limited::new(body, BODY_MOST).collect().await;
-        let body = body.map_err(|e| match e.downcast::<hyper::Error>() {
-            Ok(error) => Broken::from(*error),
-            Err(_) => Broken::Garbled,
-        })?;
-        Ok::<_, Broken>((parts, body.to_bytes()))
+        let (mut read, mut whole) = (BytesMut::new(), false);
+        // Of one that says itself that it is long, the head is enough: its first bytes are what is waited for.
+        while !whole && !framing.is_long() && read.len() <= BODY_MOST {
+            match body.frame().await.transpose()? {
+                Some(frame) => read.extend_from_slice(&frame.into_data().unwrap_or_default()),
+                None => whole = true,
+            }
+        }
+        let rest = (!whole).then_some(body);
+        let headers = end_to_end(&parts.headers);
+        let (status, read, keep) = (parts.status, read.freeze(), !closes);
+        Ok::<_, Broken>(Heard { status, headers, framing, read, rest, keep })
     };
-    let (parts, body) = drive(conn, talk).await?;
-    let closes = parts.headers.get("connection").is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
-    let headers: HeaderMap = end_to_end(&parts.headers);
-    let chunked = parts.headers.contains_key(TRANSFER_ENCODING);
-    let keep = !closes && !over(conn).await;
-    Ok(Heard { status: parts.status, reply: Reply { headers, body }, keep, chunked })
+    let mut heard = drive(conn, over, talk).await?;
+    if heard.rest.is_none() {
+        heard.keep &= !ended(conn, over).await;
+    }
+    Ok(heard)
 }
 
-/// Does the answer say in one way where it ends? One that ends with its connection may be cut short, and one with a
-/// length and a transfer coding is two answers in one.
-fn framed_once(headers: &HeaderMap) -> bool {
-    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
-    let chunked = |v: &HeaderValue| v.as_bytes().eq_ignore_ascii_case(b"chunked");
+fn says_close(headers: &HeaderMap) -> bool {
+    headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
+/// Does the answer say in one way where it ends? One with a length and a transfer coding is two answers in one, and one that
+/// ends with its connection may be cut short: only one that says so is believed.
+fn framing_of(headers: &HeaderMap, closes: bool) -> Option<Framing> {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    let length = (lengths.next(), lengths.next());
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
-    match (codings.next(), codings.next()) {
-        (None, _) => lengths == 1,
-        (Some(coding), None) => lengths == 0 && chunked(coding),
-        _ => false,
+    let chunked = |v: &HeaderValue| v.as_bytes().eq_ignore_ascii_case(b"chunked");
+    match (codings.next(), codings.next(), length) {
+        (None, _, (Some(length), None)) => length.to_str().ok()?.trim().parse().ok().map(Framing::Length),
+        (None, _, (None, _)) if closes => Some(Framing::Close),
+        (Some(coding), None, (None, _)) if chunked(coding) => Some(Framing::Chunked),
+        _ => None,
     }
 }
 
 /// Has the connection come to its end? hyper sees bytes behind the answer, and closes, only when polled.
-async fn over(conn: &mut Connection<Io, Full<Bytes>>) -> bool {
-    let mut conn = pin!(conn);
-    std::future::poll_fn(|cx| Poll::Ready(conn.as_mut().poll(cx).is_ready())).await
+async fn ended(conn: &mut Connection<Io, Full<Bytes>>, over: &mut bool) -> bool {
+    std::future::poll_fn(|cx| {
+        *over = *over || Pin::new(&mut *conn).poll(cx).is_ready();
+        Poll::Ready(*over)
+    })
+    .await
 }
 
 /// Polls the connection for as long as what goes on over it lasts.
-async fn drive<T>(conn: &mut Connection<Io, Full<Bytes>>, talk: impl Future<Output = T>) -> T {
+async fn drive<T>(
+    conn: &mut Connection<Io, Full<Bytes>>,
+    over: &mut bool,
+    talk: impl Future<Output = T>,
+) -> T {
     let mut talk = pin!(talk);
-    tokio::select! {
-        biased;
-        done = &mut talk => return done,
-        _ = conn => {}
+    if !*over {
+        tokio::select! {
+            biased;
+            done = &mut talk => return done,
+            _ = &mut *conn => *over = true,
+        }
     }
     // The connection is over; what it had to say has been handed on.
     talk.await
--- a/crates/node/src/backend/msgpack.rs
+++ b/crates/node/src/backend/msgpack.rs
@@ -21,7 +21,7 @@
 use tokio::time::{timeout, timeout_at};
 
 use super::{Descriptors, Held, Idle, OWN_ERRORS};
-use crate::call::{Call, Reply, BODY_MOST};
+use crate::call::{Call, Content, Reply, BODY_MOST};
 use crate::hub::Hub;
 use crate::list::Place;
 use crate::log;
@@ -605,7 +605,9 @@
 /// What a server's answer means for its attempt.
 fn ended_by(answer: Answer) -> Ended<Reply> {
     match answer {
-        Ok(body) if body.len() <= BODY_MOST => Ended::Served(Reply { headers: HeaderMap::new(), body }),
+        Ok(body) if body.len() <= BODY_MOST => {
+            Ended::Served(Reply { headers: HeaderMap::new(), body: Content::Whole(body) })
+        }
         Ok(_) => Ended::Without(Outcome::Error),
         Err(error) => Ended::Without(match error.code {
             Code::TurnedAway => Outcome::Full,
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -1,17 +1,23 @@
 //! A request between front and backend, whatever protocol each of them speaks.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::pin::Pin;
+use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use glenwood_core::Token;
 use glenwood_msgpack_rpc::message;
+use glenwood_operation::budget::Share;
 use glenwood_operation::places::Place;
 use glenwood_policy::Millis;
+use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{HeaderName, HeaderValue, COOKIE, HOST};
 use hyper::{HeaderMap, Method, Uri};
 
-/// The largest body that is passed on, either way.
+/// The largest body that is read whole in any case, either way.
 pub const BODY_MOST: usize = 64 * 1024;
+/// The largest body that is passed on at all, either way.
+pub const LARGE_MOST: usize = (32 << 20) + BODY_MOST;
 
 /// The client's id for a request.
 pub const TXN: HeaderName = HeaderName::from_static("x-txn");
@@ -53,15 +59,72 @@
     pub via: Via,
     /// Its body.
     pub body: Bytes,
+    /// What it draws from the budget for bodies.
+    pub held: Share,
 }
 
-/// A server's answer that was read whole.
-#[derive(Clone, Debug)]
+/// A server's answer.
 pub struct Reply {
     /// Its headers; none from a server that speaks MessagePack-RPC.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Content,
+}
+
+/// A body that can't be had to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cut;
+
+impl std::fmt::Display for Cut {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the answer ended before its end")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+/// A body that is read on as it is written.
+pub type Flow = Pin<Box<dyn Body<Data = Bytes, Error = Cut>>>;
+
+/// The body of an answer.
+pub enum Content {
+    /// It was read whole.
+    Whole(Bytes),
+    /// More of it is to come.
+    Flow(Flow),
+}
+
+impl Default for Content {
+    fn default() -> Self {
+        Self::Whole(Bytes::new())
+    }
+}
+
+impl Body for Content {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Self::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Self::Flow(flow) => flow.as_mut().poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.is_empty(),
+            Self::Flow(flow) => flow.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Self::Flow(flow) => flow.size_hint(),
+        }
+    }
 }
 
 /// Texts that are put into a header: the checks of the front leave none that do not fit.
@@ -96,7 +159,8 @@
             }
             Via::Rpc { user, .. } => user.as_deref().hash(&mut hash),
         }
-        self.body.hash(&mut hash);
+        // Two long ones that differ only far from their beginning would pass for one; their lengths mostly tell.
+        (self.body.len(), &self.body[..self.body.len().min(BODY_MOST)]).hash(&mut hash);
         hash.finish()
     }
 
@@ -151,6 +215,8 @@
 
 #[cfg(test)]
 mod tests {
+    use glenwood_operation::budget::Budget;
+
     use super::*;
 
     fn tenant_of(headers: &[(HeaderName, &str)]) -> Option<Place> {
@@ -166,7 +232,16 @@
         }
         let (key, target) = (key.map(token), target.parse().expect("a target"));
         let of = (Place { number: 0, name: "look".into() }, tenant_of(headers));
-        Call { of, id: token(id), key, method: Method::GET, target, via: Via::Http(map), body: Bytes::new() }
+        Call {
+            of,
+            id: token(id),
+            key,
+            method: Method::GET,
+            target,
+            via: Via::Http(map),
+            body: Bytes::new(),
+            held: Budget::new(0).share(),
+        }
     }
 
     #[test]
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -46,6 +46,8 @@
 const RESERVE: usize = 16;
 /// Connections of clients for each MB: the worst of them holds a head, a body and an answer, 0.2 MB in all.
 const CLIENTS_PER_MB: usize = 4;
+/// Which part of the memory long bodies may take.
+const BODIES_PART: usize = 4;
 /// Memory where the configuration names no limit.
 const MEMORY_MB: u64 = 192;
 /// The least that a node can do anything with.
@@ -71,6 +73,11 @@
         ((self.sockets - self.reserve()) / 2).min(self.memory_mb * CLIENTS_PER_MB).max(1)
     }
 
+    /// How many bytes bodies may take beyond what each connection is reckoned with.
+    pub fn bodies_most(&self) -> usize {
+        self.memory_mb * (1 << 20) / BODIES_PART
+    }
+
     /// How many connections to servers there may be: the rest.
     pub fn servers_most(&self) -> usize {
         self.sockets - self.reserve() - self.clients_most()
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -1,16 +1,19 @@
 //! Clients that speak HTTP/1.1: reading requests, and the one final answer of each.
 
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use glenwood_core::{Final, Incoming as Taken, NotTaken, Token, LONGEST_WAIT};
-use glenwood_operation::figures::End;
+use glenwood_operation::budget::Share;
+use glenwood_operation::figures::{End, Ticket};
 use glenwood_operation::places::Place;
 use glenwood_policy::{Effect, Millis, RequestId};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{
     HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER, TRANSFER_ENCODING,
 };
@@ -21,7 +24,7 @@
 use tokio::time::timeout;
 
 use super::table::{Client, Clients};
-use crate::call::{Call, Reply, Via, BODY_MOST, KEY, ORG, REMAINING, TXN};
+use crate::call::{Call, Content, Cut, Reply, Via, BODY_MOST, KEY, LARGE_MOST, ORG, REMAINING, TXN};
 use crate::headers::end_to_end;
 use crate::hub::{end_of, Hub};
 use crate::sock::{Io, Phase, Sock};
@@ -63,10 +66,48 @@
     }
 }
 
+/// The body of an answer on its way out.
+#[derive(Default)]
+struct Outgoing {
+    content: Content,
+    /// Of a request whose answer flows, until its last byte.
+    ticket: Option<Ticket>,
+}
+
+impl Outgoing {
+    fn end(&mut self, end: End) {
+        self.ticket.take().into_iter().for_each(|ticket| ticket.end(end));
+    }
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let this = self.get_mut();
+        let frame = ready!(Pin::new(&mut this.content).poll_frame(cx));
+        match &frame {
+            // Its client sees that it ends before its end.
+            Some(Err(_)) => this.end(End::Errored),
+            _ if this.content.is_end_stream() => this.end(End::Answered),
+            _ => {}
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.content.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.content.size_hint()
+    }
+}
+
 /// Answers one request.
-async fn respond(front: Rc<Front>, sock: Rc<Sock>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn respond(front: Rc<Front>, sock: Rc<Sock>, request: Request<Incoming>) -> Response<Outgoing> {
     let (hub, clients) = (&front.hub, &front.clients);
-    let arrived = sock.arrived();
     let head = *request.method() == Method::HEAD;
     let length = body_as_it_comes(request.headers());
     let asks_ready = request.uri().path() == "/ready";
@@ -78,30 +119,38 @@
         let read = read(hub, &sock, class.clone(), request).await;
         // Dropped with this, where the client leaves before it has its answer.
         let ticket = class.map(|class| hub.ticket(&class));
-        let (answer, end) = match read {
+        let (mut answer, end) = match read {
             Ok((asked, _)) if clients.all_in_use() => {
                 (refusal(hub.stay_away(asked.call.of.0.number)), End::Deferred)
             }
             Ok((asked, remaining)) => {
                 sock.look_ahead(length);
+                // Its time counts from its last byte.
+                let arrived = if sock.phase().0 == Phase::Reading { sock.came_at() } else { Instant::now() };
                 sock.enter(Phase::Busy);
                 settle(hub, asked, arrived, remaining).await
             }
             Err(bad) => (bad.answer(), End::Errored),
         };
-        ticket.into_iter().for_each(|ticket| ticket.end(end));
+        match (ticket, &answer.body().content) {
+            // It ends with its last byte.
+            (ticket, Content::Flow(_)) => answer.body_mut().ticket = ticket,
+            (ticket, Content::Whole(_)) => ticket.into_iter().for_each(|ticket| ticket.end(end)),
+        }
         answer
     };
     let first = sock.answers() == 0;
     // While the node stops, what only asks how it is must not push out those that can be served.
     let of_no_use = asks_ready && hub.stopping.get().is_some();
-    if hub.closing.get() || of_no_use || (first && clients.many_idle()) {
+    // One that does not say its length has an end that is not watched for.
+    let open_ended = body_length(&answer).is_none();
+    if hub.closing.get() || of_no_use || open_ended || (first && clients.many_idle()) {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     if sock.phase().0 == Phase::Reading {
         sock.look_ahead(length);
     }
-    sock.begin(if head { 0 } else { body_length(&answer) });
+    sock.begin(if head { 0 } else { body_length(&answer).unwrap_or(usize::MAX) });
     sock.enter(Phase::Answering);
     answer
 }
@@ -114,12 +163,12 @@
     headers.get(CONTENT_LENGTH).map_or(Some(0), |v| v.to_str().ok()?.trim().parse().ok())
 }
 
-fn body_length(answer: &Response<Full<Bytes>>) -> usize {
-    hyper::body::Body::size_hint(answer.body()).exact().unwrap_or(0) as usize
+fn body_length(answer: &Response<Outgoing>) -> Option<usize> {
+    answer.body().size_hint().exact().map(|length| length as usize)
 }
 
-fn plain(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut answer = Response::new(Full::default());
+fn plain(status: StatusCode) -> Response<Outgoing> {
+    let mut answer = Response::new(Outgoing::default());
     *answer.status_mut() = status;
     answer
 }
@@ -145,7 +194,7 @@
     asked: Asked,
     arrived: Instant,
     remaining: Duration,
-) -> (Response<Full<Bytes>>, End) {
+) -> (Response<Outgoing>, End) {
     let began = hub.clock.at(arrived);
     let incoming = Taken {
         class: asked.call.of.0.number,
@@ -182,14 +231,14 @@
     (answer, end)
 }
 
-fn served(reply: Reply) -> Response<Full<Bytes>> {
-    let mut answer = Response::new(Full::new(reply.body));
+fn served(reply: Reply) -> Response<Outgoing> {
+    let mut answer = Response::new(Outgoing { content: reply.body, ticket: None });
     *answer.headers_mut() = reply.headers;
     answer
 }
 
 /// A refusal, with the module's word on when to come back in decimal seconds.
-fn refusal(stay_away: Millis) -> Response<Full<Bytes>> {
+fn refusal(stay_away: Millis) -> Response<Outgoing> {
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
     if stay_away > 0.0 {
         if let Ok(span) = HeaderValue::from_str(&format!("{:.3}", stay_away / 1000.0)) {
@@ -206,7 +255,7 @@
 }
 
 impl Bad {
-    fn answer(&self) -> Response<Full<Bytes>> {
+    fn answer(&self) -> Response<Outgoing> {
         let mut answer = plain(self.status);
         if self.closes {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -278,7 +327,7 @@
     // What has not been read when the answer goes out makes the connection useless.
     let unread =
         |status| Bad { status, closes: declared != Some(0) && !hyper::body::Body::is_end_stream(&body) };
-    if declared.is_some_and(|n| n > BODY_MOST as u64) {
+    if declared.is_some_and(|n| n > LARGE_MOST as u64) {
         return Err(unread(StatusCode::PAYLOAD_TOO_LARGE));
     }
     let class = class.ok_or_else(|| unread(StatusCode::NOT_FOUND))?;
@@ -291,13 +340,8 @@
         uri = uri.path_and_query(path.clone());
     }
     let uri = uri.build().map_err(|_| unread(StatusCode::BAD_REQUEST))?;
-    let body = match Limited::new(body, BODY_MOST).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) if e.is::<LengthLimitError>() => {
-            return Err(Bad { status: StatusCode::PAYLOAD_TOO_LARGE, closes: true })
-        }
-        Err(_) => return Err(Bad { status: StatusCode::BAD_REQUEST, closes: true }),
-    };
+    sock.body_begins();
+    let (body, held) = collect(hub, body, declared.unwrap_or(0) as usize).await?;
     let mut headers = end_to_end(&parts.headers);
     headers.remove(REMAINING);
     if !headers.contains_key(HOST) {
@@ -311,10 +355,35 @@
         target: uri,
         via: Via::Http(headers),
         body,
+        held,
     };
     Ok((Asked { call }, remaining))
 }
 
+/// Reads a body whole. What is longer than any may be is kept within the one budget for all of them.
+async fn collect(hub: &Hub, mut body: Incoming, declared: usize) -> Result<(Bytes, Share), Bad> {
+    let closes = |status| Bad { status, closes: true };
+    let full = || closes(StatusCode::SERVICE_UNAVAILABLE);
+    let mut share = hub.bodies.share();
+    if !share.grow(declared.saturating_sub(BODY_MOST)) {
+        return Err(full());
+    }
+    let mut read = BytesMut::with_capacity(declared.min(LARGE_MOST));
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return Err(closes(StatusCode::BAD_REQUEST)) };
+        let Ok(data) = frame.into_data() else { continue };
+        if read.len() + data.len() > LARGE_MOST {
+            return Err(closes(StatusCode::PAYLOAD_TOO_LARGE));
+        }
+        let wanted = (read.len() + data.len()).saturating_sub(BODY_MOST);
+        if wanted > share.size() && !share.grow(wanted - share.size()) {
+            return Err(full());
+        }
+        read.extend_from_slice(&data);
+    }
+    Ok((read.freeze(), share))
+}
+
 /// Checks what a request must bring, and gives its id, its key and its time.
 fn check(
     method: &Method,
--- a/crates/node/src/front/msgpack.rs
+++ b/crates/node/src/front/msgpack.rs
@@ -19,7 +19,7 @@
 
 use super::http1::LINGER;
 use super::table::{Client, Clients, ANSWERING};
-use crate::call::{Call, Reply, Via, BODY_MOST};
+use crate::call::{Call, Content, Reply, Via, BODY_MOST};
 use crate::hub::{end_of, Hub};
 use crate::log;
 use crate::sock::{Phase, Sock, REQUEST_WITHIN};
@@ -318,6 +318,7 @@
             target,
             via: Via::Rpc { org, user },
             body,
+            held: self.hub.bodies.share(),
         };
         let alike = Some(call.alike(self.hub.config.seed));
         Ok(Incoming {
@@ -381,7 +382,11 @@
 
 fn answer_of(last: Final<Reply>) -> Answer {
     match last {
-        Final::Served(reply) => Ok(reply.body),
+        Final::Served(reply) => match reply.body {
+            Content::Whole(body) => Ok(body),
+            // A message is one piece, and one so long would stand in the way of all others on its connection.
+            Content::Flow(_) => Err(ErrorReply::new(Code::TooLarge, "the answer is longer than 65536 bytes")),
+        },
         Final::Refused { stay_away } => Err(refused("refused", stay_away)),
         Final::Failed => Err(ErrorReply::new(Code::Failed, "failed; it may have run")),
         Final::Overdue => Err(ErrorReply::new(Code::Failed, "no answer in time; it may have run")),
--- a/crates/node/src/front/table.rs
+++ b/crates/node/src/front/table.rs
@@ -11,7 +11,7 @@
 use crate::hub::Hub;
 use crate::sock::{Phase, Sock};
 
-/// How long an answer may take to be taken.
+/// For how long a client may take nothing of its answer.
 pub const ANSWERING: Duration = Duration::from_secs(5);
 /// How long a new connection may say nothing. Bad clients connect by hundreds and do just that.
 const SILENT: Duration = Duration::from_millis(1800);
@@ -96,7 +96,7 @@
                 }
                 Phase::Reading => client.sock.overdue(),
                 Phase::Busy => false,
-                Phase::Answering => since.elapsed() >= ANSWERING,
+                Phase::Answering => client.sock.moved().max(since).elapsed() >= ANSWERING,
             };
             if over {
                 client.close.notify_one();
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -8,6 +8,7 @@
 
 use glenwood_core::{AttemptId, Core, Ended, Final, Incoming, NotTaken, Output};
 use glenwood_list::{Merge, Source, Succession};
+use glenwood_operation::budget::Budget;
 use glenwood_operation::figures::{End, Shared, Ticket};
 use glenwood_operation::places::{Place as Seat, Places, Turn};
 use glenwood_policy::{Millis, Outcome, RequestId, ServerId, SettingsError};
@@ -86,6 +87,8 @@
     pub clock: Clock,
     /// What operators see of it.
     pub figures: Shared,
+    /// What bodies may take that are longer than any may be.
+    pub bodies: Budget,
     /// Since when the node is to end: it is not ready any more.
     pub stopping: Cell<Option<Instant>>,
     /// Its clients' addresses are open.
@@ -115,6 +118,8 @@
     list_heard: Cell<Option<Instant>>,
     counts: Cell<Counts>,
     outside: OnceCell<Rc<dyn Outside>>,
+    /// Attempts that are over at their servers, to be told when the core can hear it.
+    left: RefCell<Vec<AttemptId>>,
     /// Outputs are being moved: what they bring about waits its turn.
     moving: Cell<bool>,
     /// For when the timer is set.
@@ -137,6 +142,7 @@
         let hub = Rc::new(Self {
             clock: Clock::default(),
             figures: Shared::default(),
+            bodies: Budget::new(config.bodies_most()),
             stopping: Cell::new(None),
             listening: Cell::new(false),
             closing: Cell::new(false),
@@ -155,6 +161,7 @@
             list_heard: Cell::new(None),
             counts: Cell::default(),
             outside: OnceCell::new(),
+            left: RefCell::default(),
             moving: Cell::new(false),
             armed: Cell::new(None),
             rearmed: Notify::new(),
@@ -200,10 +207,28 @@
     /// Tells the core something, and moves what comes of it.
     fn tell<T>(&self, words: impl FnOnce(&mut Core<Rc<Call>, Reply>, Millis) -> T) -> T {
         let told = words(&mut self.core.borrow_mut(), self.clock.now());
+        self.tell_left();
         self.run();
         told
     }
 
+    fn tell_left(&self) {
+        loop {
+            let Some(attempt) = self.left.borrow_mut().pop() else { return };
+            self.core.borrow_mut().attempt_left(self.clock.now(), attempt);
+        }
+    }
+
+    /// The rest of an answer has come, or nobody wants it any more. This may be said while the core drops an answer that
+    /// came too late.
+    pub fn flowed(&self, attempt: AttemptId) {
+        self.left.borrow_mut().push(attempt);
+        if self.core.try_borrow_mut().is_ok() {
+            self.tell_left();
+            self.run();
+        }
+    }
+
     /// Moves outputs until there are none.
     fn run(&self) {
         let Some(outside) = self.outside.get() else { return };
@@ -424,7 +449,7 @@
     /// An attempt has ended.
     pub fn attempt_ended(&self, attempt: AttemptId, ended: Ended<Reply>) {
         let outcome = match &ended {
-            Ended::Served(_) => Outcome::Done,
+            Ended::Served(_) | Ended::Flows(_) => Outcome::Done,
             Ended::Without(outcome) | Ended::RunsOn(outcome) => *outcome,
         };
         self.trace_end(attempt, outcome);
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -18,6 +18,11 @@
 
 /// How long a request may take to come whole; that of a new connection counts from the connection's start.
 pub const REQUEST_WITHIN: Duration = Duration::from_millis(2500);
+/// How long a body may pause, and how many bytes a second it has to come with once its first moment is over: a quarter of
+/// what a slow client sends.
+const BODY_PAUSE: Duration = Duration::from_millis(1200);
+const BODY_GRACE: Duration = Duration::from_millis(2000);
+const BODY_PACE: f64 = 16_000.0;
 /// How much of a request is kept for a look at its head.
 const HEAD_KEPT: usize = 32 * 1024;
 
@@ -64,6 +69,13 @@
     None
 }
 
+/// Keeps the last five bytes of a stream.
+fn push_last(last: &mut [u8; 5], bytes: &[u8]) {
+    let tail = &bytes[bytes.len().saturating_sub(5)..];
+    last.copy_within(tail.len().., 0);
+    last[5 - tail.len()..].copy_from_slice(tail);
+}
+
 /// What came back: a head, and how many bytes behind it.
 struct Back {
     head: Progress,
@@ -79,10 +91,7 @@
 impl Back {
     fn came(&mut self, bytes: &[u8]) {
         self.head.took(bytes);
-        let tail = &bytes[bytes.len().saturating_sub(5)..];
-        self.last.copy_within(tail.len().., 0);
-        let keep = 5 - tail.len();
-        self.last[keep..].copy_from_slice(tail);
+        push_last(&mut self.last, bytes);
     }
 }
 
@@ -122,8 +131,14 @@
     answers: Cell<usize>,
     /// Something came while a request was served: the next one, or a part of it.
     ahead: Cell<bool>,
-    /// How many bytes came since the present request began to.
+    /// How many bytes came since the present request began to, when the last of them did, and the last five.
     came: Cell<usize>,
+    came_at: Cell<Instant>,
+    last: Cell<[u8; 5]>,
+    /// When the body of the present request began to come, and how many bytes had come before it.
+    body: Cell<Option<(Instant, usize)>>,
+    /// When the other side last took anything.
+    moved: Cell<Instant>,
     /// What came of the present request, from its first byte on; `None` where that is not known.
     head: RefCell<Option<Vec<u8>>>,
 }
@@ -162,6 +177,10 @@
             answers: Cell::new(0),
             ahead: Cell::new(false),
             came: Cell::new(0),
+            came_at: Cell::new(now),
+            last: Cell::default(),
+            body: Cell::new(None),
+            moved: Cell::new(now),
             head: RefCell::default(),
         }))
     }
@@ -210,9 +229,31 @@
         }
     }
 
-    /// Has the request that is coming taken too long?
+    /// Has the request that is coming taken too long? A head has its time. A body may take long, as long as it comes: what
+    /// pauses, or trickles, holds a connection and memory for nothing.
     pub fn overdue(&self) -> bool {
-        self.phase.get() == Phase::Reading && Instant::now() >= self.due.get()
+        if self.phase.get() != Phase::Reading {
+            return false;
+        }
+        let Some((began, before)) = self.body.get() else { return Instant::now() >= self.due.get() };
+        let came = self.came.get().saturating_sub(before) as f64;
+        self.came_at.get().elapsed() >= BODY_PAUSE
+            || began.elapsed() >= BODY_GRACE + Duration::from_secs_f64(came / BODY_PACE)
+    }
+
+    /// The head of the present request has come, and its body is being read.
+    pub fn body_begins(&self) {
+        self.body.set(Some((Instant::now(), self.came.get())));
+    }
+
+    /// When the last byte came that was read so far.
+    pub fn came_at(&self) -> Instant {
+        self.came_at.get()
+    }
+
+    /// When the other side last took anything of what is written.
+    pub fn moved(&self) -> Instant {
+        self.moved.get()
     }
 
     /// Has anything ever come?
@@ -242,7 +283,11 @@
     pub fn look_ahead(&self, body: Option<usize>) {
         let end = self.head.borrow().as_deref().and_then(head_end);
         let whole = end.zip(body).map(|(head, body)| head + body);
-        self.ahead.set(whole != Some(self.came.get()));
+        // One in chunks is over with its last; more behind that ends in the same bytes only by chance.
+        self.ahead.set(match body {
+            Some(_) => whole != Some(self.came.get()),
+            None => &self.last.get() != b"0\r\n\r\n",
+        });
     }
 
     /// When the present request began to come. One that came right behind another was read with it; its time
@@ -354,6 +399,10 @@
             Phase::Busy | Phase::Answering => self.ahead.set(true),
         }
         self.came.set(self.came.get() + came.len());
+        self.came_at.set(Instant::now());
+        let mut last = self.last.get();
+        push_last(&mut last, came);
+        self.last.set(last);
         if let Some(head) = &mut *self.head.borrow_mut() {
             let room = HEAD_KEPT.saturating_sub(head.len());
             head.extend_from_slice(&came[..came.len().min(room)]);
@@ -364,6 +413,7 @@
     fn coming(&self, later: bool) {
         self.enter(Phase::Reading);
         self.came.set(0);
+        self.body.set(None);
         self.began.set(self.since.get());
         if later {
             self.due.set(self.since.get() + REQUEST_WITHIN);
@@ -372,6 +422,9 @@
 
     fn took(&self, bytes: &[u8]) {
         self.out.borrow_mut().took(bytes);
+        if !bytes.is_empty() {
+            self.moved.set(Instant::now());
+        }
         if self.whole() {
             if let Some(tell) = self.when_whole.take() {
                 tell();
--- /dev/null
+++ b/crates/node/tests/large.rs
@@ -0,0 +1,267 @@
+//! Long and slow messages through the real program.
+
+mod peers;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use peers::{answer, config, host, request, until, Client, Message, Node, Peer, Registry, Say, PATIENCE};
+
+/// A body that no two places of are alike.
+fn body(length: usize) -> Vec<u8> {
+    (0..length as u32).map(|n| (n.wrapping_mul(2_654_435_761) >> 24) as u8).collect()
+}
+
+fn with_length(length: usize) -> Vec<u8> {
+    let mut all = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n").into_bytes();
+    all.extend(body(length));
+    all
+}
+
+fn in_chunks(length: usize, trailer: &str) -> Vec<u8> {
+    let mut all = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+    for chunk in body(length).chunks(10_000) {
+        all.extend(format!("{:x};note=a\r\n", chunk.len()).bytes());
+        all.extend(chunk);
+        all.extend(b"\r\n");
+    }
+    all.extend(format!("0\r\n{trailer}\r\n").bytes());
+    all
+}
+
+fn ready(peers: &[&Peer]) -> (Node, Registry) {
+    let names = ["s0", "s1", "s2"];
+    let hosts: Vec<_> = peers.iter().zip(names).map(|(p, name)| host(name, p.address, "active", 0)).collect();
+    let registry = Registry::new(&hosts);
+    (Node::ready(&config(registry.address)), registry)
+}
+
+/// Asks on a connection of its own that ends with the answer; all that comes back.
+fn ask_raw(node: &Node, words: &str) -> Vec<u8> {
+    let mut stream = TcpStream::connect(node.address).expect("the node listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+    let words = words.replacen("\r\n", "\r\nConnection: close\r\n", 1);
+    stream.write_all(words.as_bytes()).expect("the node reads");
+    let mut all = Vec::new();
+    let _ = stream.read_to_end(&mut all);
+    all
+}
+
+/// The status and the body of an answer that came whole; `None` where a client could tell that it did not.
+fn whole(all: &[u8]) -> Option<(u16, Vec<u8>)> {
+    let end = all.windows(4).position(|w| w == b"\r\n\r\n")?;
+    let head = String::from_utf8_lossy(&all[..end]).to_lowercase();
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let mut rest = &all[end + 4..];
+    if let Some(length) = head.lines().find_map(|l| l.strip_prefix("content-length:")) {
+        return (rest.len() == length.trim().parse::<usize>().ok()?).then(|| (status, rest.to_vec()));
+    }
+    let mut body = Vec::new();
+    loop {
+        let line = rest.windows(2).position(|w| w == b"\r\n")?;
+        let size = usize::from_str_radix(std::str::from_utf8(&rest[..line]).ok()?, 16).ok()?;
+        if size == 0 {
+            return Some((status, body));
+        }
+        body.extend(rest.get(line + 2..line + 2 + size)?);
+        rest = rest.get(line + 4 + size..)?;
+    }
+}
+
+#[test]
+fn long_answers_of_every_form_come_whole() {
+    let long = 2_000_000;
+    for (n, bytes) in [
+        with_length(long),
+        in_chunks(long, ""),
+        in_chunks(long, "X-Sum: 1\r\n"),
+        [b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n".to_vec(), body(long)].concat(),
+        [b"HTTP/1.1 100 Continue\r\n\r\n".to_vec(), with_length(long)].concat(),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let closes = n == 3;
+        let peer =
+            Peer::new(move |_| if closes { Say::Last(bytes.clone()) } else { Say::This(bytes.clone()) });
+        let (node, _registry) = ready(&[&peer]);
+        for round in 0..3 {
+            let all = ask_raw(&node, &request("look", &format!("t{round}"), 10_000));
+            assert!(whole(&all) == Some((200, body(long))), "form {n}: {} bytes", all.len());
+        }
+    }
+}
+
+#[test]
+fn a_kept_connection_serves_after_a_long_answer() {
+    let peer = Peer::new(|_| Say::This(with_length(300_000)));
+    let (node, _registry) = ready(&[&peer]);
+    let mut client = Client::to(&node);
+    for n in 0..5 {
+        assert!(client.ask(&request("look", &format!("t{n}"), 10_000)).body == body(300_000));
+    }
+    assert_eq!(
+        peer.seen().iter().map(|m| m.conn).max(),
+        Some(peer.seen()[0].conn),
+        "one connection to the server"
+    );
+}
+
+#[test]
+fn an_answer_that_breaks_on_its_way_is_not_asked_for_again_and_its_client_can_tell() {
+    for part in [1, 2, 3] {
+        let broken = move |bytes: Vec<u8>| {
+            let cut = bytes.len() * part / 4;
+            Say::Last(bytes[..cut].to_vec())
+        };
+        let peers = [
+            Peer::new(move |_| broken(with_length(1_000_000))),
+            Peer::new(move |_| broken(in_chunks(1_000_000, ""))),
+        ];
+        for peer in &peers {
+            let (node, _registry) = ready(&[peer]);
+            let all = ask_raw(&node, &request("look", "t", 10_000));
+            assert!(
+                all.starts_with(b"HTTP/1.1 200") && all.len() > 64 * 1024,
+                "it began: {} bytes",
+                all.len()
+            );
+            assert_eq!(whole(&all), None, "its client can tell");
+            assert_eq!(peer.seen().len(), 1, "no other attempt speaks after the first byte");
+        }
+    }
+}
+
+#[test]
+fn what_cannot_be_so_long_or_does_not_say_where_it_ends_is_a_failure() {
+    for bytes in [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n".to_vec(),
+        [b"HTTP/1.1 200 OK\r\n\r\n".to_vec(), body(1000)].concat(),
+        [b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec(), body(1000)]
+            .concat(),
+    ] {
+        let peer = Peer::new(move |_| Say::Last(bytes.clone()));
+        let (node, _registry) = ready(&[&peer]);
+        let all = ask_raw(&node, &request("slip", "t", 10_000));
+        assert_eq!(whole(&all).map(|a| a.0), Some(502));
+    }
+}
+
+#[test]
+fn a_client_that_leaves_in_the_middle_frees_its_server() {
+    let peer = Peer::new(|message: &Message| match message.header("x-org") {
+        Some("long") => Say::This(with_length(30_000_000)),
+        _ => Say::This(answer(200, "", "short")),
+    });
+    let (node, _registry) = ready(&[&peer]);
+    // More than the one server may have out of this node at a time.
+    for n in 0..20 {
+        let mut stream = TcpStream::connect(node.address).expect("the node listens");
+        let words = request("look", &format!("a{n}"), 10_000).replace("X-Txn", "X-Org: long\r\nX-Txn");
+        stream.write_all(words.as_bytes()).expect("the node reads");
+        let mut some = vec![0; 100_000];
+        stream.read_exact(&mut some).expect("it begins");
+    }
+    until("their connections end", || peer.open() <= 1);
+    assert_eq!(Client::to(&node).ask(&request("look", "b", 10_000)).body, b"short");
+}
+
+#[test]
+fn forty_clients_that_stop_reading_long_answers_stay_within_the_memory() {
+    let peers: Vec<Peer> = (0..3).map(|_| Peer::new(|_| Say::This(with_length(32 << 20)))).collect();
+    let (node, _registry) = ready(&[&peers[0], &peers[1], &peers[2]]);
+    let stuck: Vec<TcpStream> = (0..40)
+        .filter_map(|n| {
+            let mut stream = TcpStream::connect(node.address).expect("the node listens");
+            stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+            stream.write_all(request("look", &format!("t{n}"), 20_000).as_bytes()).expect("the node reads");
+            let mut some = vec![0; 1 << 20];
+            stream.read_exact(&mut some).is_ok_and(|()| some.starts_with(b"HTTP/1.1 200")).then_some(stream)
+        })
+        .collect();
+    assert!(stuck.len() >= 20, "{} flow at a time", stuck.len());
+    // Within 48 MB with what the program itself takes, which is more in a build for tests.
+    assert!(node.peak_memory() < 48 << 20, "{} bytes", node.peak_memory());
+}
+
+#[test]
+fn a_long_body_goes_on_whole_and_can_be_sent_again() {
+    // The first server to be asked has no room.
+    let first = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(true));
+    let script = move |_: &Message| match first.swap(false, std::sync::atomic::Ordering::SeqCst) {
+        true => Say::This(answer(503, "X-Turned-Away: 1\r\n", "")),
+        false => Say::This(answer(200, "", "served")),
+    };
+    let script = std::sync::Arc::new(script);
+    let again = script.clone();
+    let (a, b) = (Peer::new(move |m| script(m)), Peer::new(move |m| again(m)));
+    let (node, _registry) = ready(&[&a, &b]);
+    let long = "0123456789abcdef".repeat(60_000);
+    let head = request("slip", "t", 10_000).replace("Content-Length: 4\r\n\r\nwork", "");
+    let words = format!("{head}Content-Length: {}\r\n\r\n{long}", long.len());
+    assert_eq!(Client::to(&node).ask(&words).status(), 200);
+    let seen = [a.seen(), b.seen()].concat();
+    assert_eq!(seen.len(), 2);
+    assert!(seen.iter().all(|m| m.body == long.as_bytes()));
+    // In chunks, with what else they may carry, and asked for.
+    let chunks = format!("{head}Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n\r\nea600;a=b\r\n{long}\r\n0\r\nX-End: 1\r\n\r\n");
+    let all = ask_raw(&node, &chunks.replace("X-Txn: t", "X-Txn: u"));
+    assert!(all.starts_with(b"HTTP/1.1 100") && String::from_utf8_lossy(&all).ends_with("served"));
+}
+
+#[test]
+fn a_slow_body_has_its_time_from_its_last_byte() {
+    let peer = Peer::good("s0");
+    let (node, _registry) = ready(&[&peer]);
+    let mut client = Client::to(&node);
+    let words = request("slip", "t", 1000).replace("Content-Length: 4", "Content-Length: 100000");
+    client.send(&words);
+    let began = Instant::now();
+    // Longer than the time that is left by the head, and than a head may take.
+    for _ in 0..35 {
+        std::thread::sleep(Duration::from_millis(90));
+        client.send(&"x".repeat(2800));
+    }
+    assert!(began.elapsed() > Duration::from_millis(2900));
+    client.send(&"x".repeat(100_000 - 4 - 35 * 2800));
+    assert_eq!(client.hear().map(|m| m.status()), Some(200));
+}
+
+#[test]
+fn a_body_that_stops_coming_is_given_up_soon() {
+    let peer = Peer::good("s0");
+    let (node, _registry) = ready(&[&peer]);
+    for words in [
+        request("slip", "t", 20_000).replace("Content-Length: 4", "Content-Length: 100000"),
+        request("slip", "t", 20_000)
+            .replace("Content-Length: 4\r\n\r\nwork", "Transfer-Encoding: chunked\r\n\r\nffff\r\nwork"),
+    ] {
+        let mut client = Client::to(&node);
+        let began = Instant::now();
+        client.send(&words);
+        assert!(client.ended_or_reset());
+        assert!(began.elapsed() < Duration::from_millis(2900), "{:?}", began.elapsed());
+    }
+    assert!(peer.seen().is_empty());
+}
+
+#[test]
+fn a_body_without_end_is_answered_or_closed_on_and_goes_nowhere() {
+    let peer = Peer::good("s0");
+    let (node, _registry) = ready(&[&peer]);
+    let head = request("slip", "t", 10_000)
+        .replace("Content-Length: 4\r\n\r\nwork", "Transfer-Encoding: chunked\r\n\r\n");
+    let mut stream = TcpStream::connect(node.address).expect("the node listens");
+    let chunk = format!("10000\r\n{}\r\n", "x".repeat(0x10000));
+    stream.write_all(head.as_bytes()).expect("the node reads");
+    // Twice what a body may have at the most.
+    let _ = (0..1200).try_for_each(|_| stream.write_all(chunk.as_bytes()));
+    stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+    let mut all = Vec::new();
+    let ended = stream.read_to_end(&mut all).map_err(|e| e.kind());
+    assert!(matches!(ended, Ok(_) | Err(std::io::ErrorKind::ConnectionReset)), "{ended:?}");
+    assert!(!all.starts_with(b"HTTP/1.1 200"));
+    assert!(peer.seen().is_empty());
+    assert_eq!(Client::to(&node).ask(&request("slip", "u", 10_000)).status(), 200);
+}
--- a/crates/node/tests/peers/mod.rs
+++ b/crates/node/tests/peers/mod.rs
@@ -430,6 +430,13 @@
         assert!(sent.expect("kill runs").success());
     }
 
+    /// The most memory that was ever resident, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("it is there");
+        line.trim().split(' ').next().and_then(|n| n.parse::<usize>().ok()).expect("a number") * 1024
+    }
+
     /// How many file descriptors the node holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
