--- a/crates/node/src/backend/http1.rs
+++ b/crates/node/src/backend/http1.rs
@@ -12,7 +12,7 @@
 use bytes::{Bytes, BytesMut};
 use glenwood_core::{AttemptId, Ended};
 use glenwood_policy::{Outcome, ServerId};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
@@ -22,6 +22,7 @@
 use tokio::time::{timeout, timeout_at, Sleep};
 
 use super::{Descriptors, Held, Idle, OWN_ERRORS};
+use crate::blocks::{Blocks, Sending};
 use crate::call::{Call, Content, Cut, Reply, BODY_MOST, LARGE_MOST, REMAINING};
 use crate::config::Config;
 use crate::headers::end_to_end;
@@ -30,7 +31,7 @@
 use crate::sock::{Io, Sock};
 
 /// The largest head of an answer.
-const HEAD_MOST: usize = 32 * 1024;
+const HEAD_MOST: usize = 16 * 1024;
 /// The part of the servers' keep-alive after which a connection is not used any more: one that is written to
 /// when its server closes it ends as a reset, and fails what must not be repeated.
 const IDLE_SHARE: f64 = 0.5;
@@ -47,8 +48,8 @@
 /// A connection between requests. It is not polled meanwhile: what happened to it is looked up before use.
 struct Link {
     sock: Rc<Sock>,
-    send: SendRequest<Full<Bytes>>,
-    conn: Connection<Io, Full<Bytes>>,
+    send: SendRequest<Sending>,
+    conn: Connection<Io, Sending>,
     /// It has ended, and must not be polled any more.
     over: bool,
     /// Whom it leads to.
@@ -221,15 +222,15 @@
 }
 
 impl Message {
-    fn body(&self) -> Bytes {
+    fn body(&self) -> Blocks {
         match self {
             Self::Call(call) => call.body.clone(),
-            Self::Probe => Bytes::new(),
+            Self::Probe => Blocks::default(),
         }
     }
 
-    fn request(&self, end: Instant) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body()));
+    fn request(&self, end: Instant) -> Request<Sending> {
+        let mut request = Request::new(Sending::from(self.body()));
         match self {
             Self::Call(call) => {
                 *request.method_mut() = call.method.clone();
@@ -592,7 +593,7 @@
 
 /// Writes a request and reads the answer, whole or until it is too long for that. A second request on the connection is
 /// never begun here, and nothing is sent again.
-async fn converse(link: &mut Link, request: Request<Full<Bytes>>) -> Result<Heard, Broken> {
+async fn converse(link: &mut Link, request: Request<Sending>) -> Result<Heard, Broken> {
     let Link { send, conn, over, .. } = link;
     let talk = async {
         send.ready().await?;
@@ -643,7 +644,7 @@
 }
 
 /// Has the connection come to its end? hyper sees bytes behind the answer, and closes, only when polled.
-async fn ended(conn: &mut Connection<Io, Full<Bytes>>, over: &mut bool) -> bool {
+async fn ended(conn: &mut Connection<Io, Sending>, over: &mut bool) -> bool {
     std::future::poll_fn(|cx| {
         *over = *over || Pin::new(&mut *conn).poll(cx).is_ready();
         Poll::Ready(*over)
@@ -652,11 +653,7 @@
 }
 
 /// Polls the connection for as long as what goes on over it lasts.
-async fn drive<T>(
-    conn: &mut Connection<Io, Full<Bytes>>,
-    over: &mut bool,
-    talk: impl Future<Output = T>,
-) -> T {
+async fn drive<T>(conn: &mut Connection<Io, Sending>, over: &mut bool, talk: impl Future<Output = T>) -> T {
     let mut talk = pin!(talk);
     if !*over {
         tokio::select! {
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -14,11 +14,16 @@
 use hyper::header::{HeaderName, HeaderValue, COOKIE, HOST};
 use hyper::{HeaderMap, Method, Uri};
 
+use crate::blocks::Blocks;
+
 /// The largest body that is read whole in any case, either way.
 pub const BODY_MOST: usize = 64 * 1024;
 /// The largest body that is passed on at all, either way.
 pub const LARGE_MOST: usize = (32 << 20) + BODY_MOST;
 
+/// How many blocks of a body tell whether a request repeats another.
+const HASHED: usize = 4;
+
 /// The client's id for a request.
 pub const TXN: HeaderName = HeaderName::from_static("x-txn");
 /// The tenant.
@@ -58,7 +63,7 @@
     /// How it came.
     pub via: Via,
     /// Its body.
-    pub body: Bytes,
+    pub body: Blocks,
     /// What it draws from the budget for bodies.
     pub held: Share,
 }
@@ -160,7 +165,8 @@
             Via::Rpc { user, .. } => user.as_deref().hash(&mut hash),
         }
         // Two long ones that differ only far from their beginning would pass for one; their lengths mostly tell.
-        (self.body.len(), &self.body[..self.body.len().min(BODY_MOST)]).hash(&mut hash);
+        self.body.len().hash(&mut hash);
+        self.body.iter().take(HASHED).for_each(|block| block.hash(&mut hash));
         hash.finish()
     }
 
@@ -208,7 +214,7 @@
             user: user.map(str::to_string),
             remaining_ms: Some(remaining_ms),
             key: self.key.as_ref().map(|k| k.as_str().to_string()),
-            body: self.body.clone(),
+            body: self.body.whole(),
         }
     }
 }
@@ -239,7 +245,7 @@
             method: Method::GET,
             target,
             via: Via::Http(map),
-            body: Bytes::new(),
+            body: Blocks::default(),
             held: Budget::new(0).share(),
         }
     }
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -6,7 +6,7 @@
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use glenwood_core::{Final, Incoming as Taken, NotTaken, Token, LONGEST_WAIT};
 use glenwood_operation::budget::Share;
 use glenwood_operation::figures::{End, Ticket};
@@ -24,6 +24,7 @@
 use tokio::time::timeout;
 
 use super::table::{Client, Clients};
+use crate::blocks::{Blocks, Reading};
 use crate::call::{Call, Content, Cut, Reply, Via, BODY_MOST, KEY, LARGE_MOST, ORG, REMAINING, TXN};
 use crate::headers::end_to_end;
 use crate::hub::{end_of, Hub};
@@ -32,7 +33,7 @@
 /// How long a connection is read after its last answer, so that a reset does not overtake it.
 pub const LINGER: Duration = Duration::from_millis(500);
 /// The largest head of a request.
-const HEAD_MOST: usize = 32 * 1024;
+const HEAD_MOST: usize = 16 * 1024;
 
 /// The way in for clients that speak HTTP/1.1.
 pub struct Front {
@@ -361,14 +362,14 @@
 }
 
 /// Reads a body whole. What is longer than any may be is kept within the one budget for all of them.
-async fn collect(hub: &Hub, mut body: Incoming, declared: usize) -> Result<(Bytes, Share), Bad> {
+async fn collect(hub: &Hub, mut body: Incoming, declared: usize) -> Result<(Blocks, Share), Bad> {
     let closes = |status| Bad { status, closes: true };
     let full = || closes(StatusCode::SERVICE_UNAVAILABLE);
     let mut share = hub.bodies.share();
     if !share.grow(declared.saturating_sub(BODY_MOST)) {
         return Err(full());
     }
-    let mut read = BytesMut::with_capacity(declared.min(LARGE_MOST));
+    let mut read = Reading::default();
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else { return Err(closes(StatusCode::BAD_REQUEST)) };
         let Ok(data) = frame.into_data() else { continue };
@@ -379,9 +380,9 @@
         if wanted > share.size() && !share.grow(wanted - share.size()) {
             return Err(full());
         }
-        read.extend_from_slice(&data);
+        read.push(&data);
     }
-    Ok((read.freeze(), share))
+    Ok((read.end(), share))
 }
 
 /// Checks what a request must bring, and gives its id, its key and its time.
--- a/crates/node/src/front/msgpack.rs
+++ b/crates/node/src/front/msgpack.rs
@@ -317,7 +317,7 @@
             method,
             target,
             via: Via::Rpc { org, user },
-            body,
+            body: body.into(),
             held: self.hub.bodies.share(),
         };
         let alike = Some(call.alike(self.hub.config.seed));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 pub mod backend;
+pub mod blocks;
 pub mod call;
 pub mod clock;
 pub mod config;
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -14,7 +14,7 @@
 use tokio::task::{spawn_local, AbortHandle};
 
 use crate::backend::{http1, msgpack, Descriptors};
-use crate::call::Call;
+use crate::call::{Call, BODY_MOST};
 use crate::config::{self, Config};
 use crate::discovery;
 use crate::door;
@@ -65,6 +65,10 @@
     fn start(&self, attempt: AttemptId, server: ServerId, end: Instant, call: Rc<Call>) {
         match self.hub.place(server).map(|place| place.dial.protocol) {
             Some(Protocol::Http1) => self.http1.start(attempt, server, end, call),
+            // A message is one piece, and nobody takes one so long: it was never sent.
+            Some(Protocol::Msgpack) if call.body.len() > BODY_MOST => {
+                self.hub.attempt_ended(attempt, Ended::Without(Outcome::NotSent));
+            }
             Some(Protocol::Msgpack) => self.msgpack.start(attempt, server, end, call),
             // It drained between the decision and now.
             None => self.hub.attempt_ended(attempt, Ended::Without(Outcome::NotSent)),
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -484,6 +484,37 @@
         }
     }
 
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let sock = &self.0;
+        loop {
+            ready!(sock.stream.poll_write_ready(cx))?;
+            match sock.stream.try_write_vectored(parts) {
+                Ok(n) => {
+                    let mut left = n;
+                    for part in parts {
+                        let taken = left.min(part.len());
+                        if taken > 0 {
+                            sock.took(&part[..taken]);
+                        }
+                        left -= taken;
+                    }
+                    return Poll::Ready(Ok(n));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+
+    /// Pieces are written from where they are: hyper need not copy bodies into a buffer that each connection keeps.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
