A slow head behind a request in chunks, and a body that pauses, have their time

Ruled out: heads that were slow by themselves (the longest took 1.9 s).

Tests: large, node, service.

--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -20,8 +20,8 @@
 pub const REQUEST_WITHIN: Duration = Duration::from_millis(2500);
 /// How long a body may pause, and how many bytes a second it has to come with once its first moment is over: a quarter of
 /// what a slow client sends.
-const BODY_PAUSE: Duration = Duration::from_millis(1200);
-const BODY_GRACE: Duration = Duration::from_millis(2000);
+const BODY_PAUSE: Duration = Duration::from_millis(2200);
+const BODY_GRACE: Duration = Duration::from_millis(2500);
 const BODY_PACE: f64 = 16_000.0;
 /// How much of a request is kept for a look at its head.
 const HEAD_KEPT: usize = 32 * 1024;
@@ -283,10 +283,11 @@
     pub fn look_ahead(&self, body: Option<usize>) {
         let end = self.head.borrow().as_deref().and_then(head_end);
         let whole = end.zip(body).map(|(head, body)| head + body);
-        // One in chunks is over with its last; more behind that ends in the same bytes only by chance.
+        // One in chunks is over with a blank line, behind its last chunk or its trailers. A whole request behind it ends so
+        // too, and is answered next; a part of one ends so only by chance.
         self.ahead.set(match body {
             Some(_) => whole != Some(self.came.get()),
-            None => &self.last.get() != b"0\r\n\r\n",
+            None => !self.last.get().ends_with(b"\r\n\r\n"),
         });
     }
 
@@ -395,6 +396,11 @@
                 self.coming(self.spoke.replace(true));
                 *self.head.borrow_mut() = Some(Vec::new());
             }
+            // What was taken for a part of the next request was none, or its rest has come: its time begins anew, once.
+            Phase::Reading if self.came.get() == 0 => {
+                self.coming(true);
+                *self.head.borrow_mut() = Some(Vec::new());
+            }
             Phase::Reading => {}
             Phase::Busy | Phase::Answering => self.ahead.set(true),
         }
