A body too long to be kept goes on while it comes, and is sent once

Need: bodies reach 32 MB, many at a time; what exceeded an eighth of the memory was refused (collect in front/http1.rs).

Change: what finds no place in the budget goes on to its server as it comes, on a new connection; the core is told when it is taken (the module: Event::Spent, no other attempt) and when its last byte has gone on (from then on its client's time and the server's count). A server that takes no more never ran.

Rejected: a deadline with the time of the upload added, given to the module at the start. The module takes the most time that a request ever had left for that of new ones, so one such deadline would make all others pass for repeats.

Tests: 5 MB by length and in chunks through a node of 8 MB, one that comes for two seconds with one second left and is answered 500, a server that stops reading 30 MB. Run: node, core, policy, simhost, operation, msgpack-rpc, all passed.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -124,6 +124,10 @@
     /// The final answer has been given, or none is owed any more.
     answered: bool,
     guard: Due,
+    /// How long its client waits from its last byte on, where that has not come yet.
+    coming: Option<Millis>,
+    /// When its last byte had come, where that was after its first attempt began.
+    whole: Millis,
     tries: Vec<Try>,
 }
 
@@ -280,10 +284,23 @@
         let request = RequestId(self.last);
         let (tenant, deadline) = (incoming.tenant, incoming.before_deadline(ANSWER_MARGIN));
         let (alike, work) = (incoming.alike, incoming.work);
-        let guard = Due::at(incoming.before_deadline(GUARD_MARGIN));
+        let coming = incoming.coming.then_some(incoming.deadline - incoming.began);
+        let guard = if incoming.coming {
+            // Until then it is its front that sees whether anything comes.
+            Due::at(now + LONGEST_ATTEMPT)
+        } else {
+            Due::at(incoming.before_deadline(GUARD_MARGIN))
+        };
         self.guards.insert((guard, request));
-        let open =
-            Open { id: incoming.id, payload: incoming.payload, answered: false, guard, tries: Vec::new() };
+        let open = Open {
+            id: incoming.id,
+            payload: incoming.payload,
+            answered: false,
+            guard,
+            coming,
+            whole: now,
+            tries: Vec::new(),
+        };
         self.requests.insert(request, open);
         self.feed(now, Event::Request { id: request, class, tenant, deadline, alike, work });
         Ok(request)
@@ -317,7 +334,8 @@
         let AttemptId { request, number } = attempt;
         let Some(open) = self.requests.get_mut(&request) else { return };
         let Some(tried) = open.tries.get_mut(number).filter(|t| t.stage == Stage::Out) else { return };
-        let (server, took) = (tried.server, now - tried.sent);
+        // A server begins with the last byte.
+        let (server, took) = (tried.server, now - tried.sent.max(open.whole));
         let runs_on = matches!(ended, Ended::RunsOn(_) | Ended::Flows(_));
         tried.stage = if runs_on { Stage::RunsOn } else { Stage::Over };
         let outcome = match ended {
@@ -341,6 +359,23 @@
         self.drop_if_over(request);
     }
 
+    /// The body of an attempt's request is being taken from its client: it can't be sent again.
+    pub fn body_taken(&mut self, now: Millis, request: RequestId) {
+        self.feed(now, Event::Spent(request));
+    }
+
+    /// The last byte of a request whose body was still coming has gone on; its client's time counts from now.
+    pub fn body_sent(&mut self, now: Millis, request: RequestId) {
+        let Some(open) = self.requests.get_mut(&request) else { return };
+        let Some(wait) = open.coming.take() else { return };
+        open.whole = now;
+        if !open.answered {
+            self.guards.remove(&(open.guard, request));
+            open.guard = Due::at(now + wait - GUARD_MARGIN.min(wait / 2.0));
+            self.guards.insert((open.guard, request));
+        }
+    }
+
     /// The server has finished, or lost, what ended as [`Ended::RunsOn`].
     pub fn attempt_left(&mut self, now: Millis, attempt: AttemptId) {
         let AttemptId { request, number } = attempt;
--- a/crates/core/src/incoming.rs
+++ b/crates/core/src/incoming.rs
@@ -72,6 +72,8 @@
     pub alike: Option<u64>,
     /// The client's guess at its work, as time on a standard core.
     pub work: Option<Millis>,
+    /// Its body is still coming: its time counts from when [`crate::Core::body_sent`] says that the last byte has gone on.
+    pub coming: bool,
     /// What the backends send; opaque here, and cloned for each attempt.
     pub payload: P,
 }
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -73,6 +73,7 @@
         deadline: began + wait,
         alike: None,
         work: None,
+        coming: false,
         payload: 9,
     }
 }
--- a/crates/node/src/backend/http1.rs
+++ b/crates/node/src/backend/http1.rs
@@ -22,7 +22,7 @@
 use tokio::time::{timeout, timeout_at, Sleep};
 
 use super::{Descriptors, Held, Idle, OWN_ERRORS};
-use crate::blocks::{Blocks, Sending};
+use crate::blocks::{Blocks, Rest, Sending};
 use crate::call::{Call, Content, Cut, Reply, BODY_MOST, LARGE_MOST, REMAINING};
 use crate::config::Config;
 use crate::headers::end_to_end;
@@ -42,6 +42,11 @@
 /// How long a server may say nothing in the middle of an answer that flows. Nothing is cut off that still comes.
 const STALLED: Duration = Duration::from_secs(5);
 
+/// How long a server may take nothing of a body that goes on while it comes, and how often it is looked whether its client
+/// or its server is waited for.
+const UPTAKE_STALLED: Duration = Duration::from_secs(2);
+const UPTAKE_LOOK: Duration = Duration::from_millis(500);
+
 /// Turned away unseen.
 const TURNED_AWAY: HeaderName = HeaderName::from_static("x-turned-away");
 
@@ -222,15 +227,26 @@
 }
 
 impl Message {
-    fn body(&self) -> Blocks {
+    fn body(&self) -> Sending {
+        match self {
+            Self::Call(call) => match &call.rest {
+                Some(rest) => Sending::with_rest(call.body.clone(), rest),
+                None => call.body.clone().into(),
+            },
+            Self::Probe => Blocks::default().into(),
+        }
+    }
+
+    /// What is still to come of its body.
+    fn rest(&self) -> Option<&Rest> {
         match self {
-            Self::Call(call) => call.body.clone(),
-            Self::Probe => Blocks::default(),
+            Self::Call(call) => call.rest.as_ref(),
+            Self::Probe => None,
         }
     }
 
     fn request(&self, end: Instant) -> Request<Sending> {
-        let mut request = Request::new(Sending::from(self.body()));
+        let mut request = Request::new(self.body());
         match self {
             Self::Call(call) => {
                 *request.method_mut() = call.method.clone();
@@ -320,7 +336,9 @@
     attempt: Option<AttemptId>,
 ) -> Ended<Reply> {
     let (hub, pool) = (&servers.hub, &servers.pool);
-    let mut pooled = if matches!(message, Message::Probe) { None } else { pool.take(server) };
+    // What can be sent once is not risked on a connection that may have gone dead.
+    let fresh = matches!(message, Message::Probe) || message.rest().is_some();
+    let mut pooled = if fresh { None } else { pool.take(server) };
     loop {
         // A drain holds from the moment it is told, also for what waited on a connection until now.
         let Some(place) = hub.place(server) else { return Ended::Without(Outcome::NotSent) };
@@ -342,40 +360,86 @@
         }
         let sent = Instant::now();
         let expected = pool.expect(server);
-        link.sock.begin(message.body().len());
-        if matches!(message, Message::Call(_)) {
-            let figures = hub.figures.clone();
-            link.sock.when_whole(move || figures.with(|f| f.sends += 1));
+        let length = match message {
+            Message::Call(call) => call.length(),
+            Message::Probe => Some(0),
+        };
+        match (length, message.rest()) {
+            (None, Some(rest)) => link.sock.begin_open(rest.uptake.clone()),
+            (length, _) => link.sock.begin(length.unwrap_or(0)),
+        }
+        let whole_at: Rc<Cell<Option<Instant>>> = Rc::default();
+        if let Some(attempt) = attempt {
+            let (told, whole_at, comes) = (hub.clone(), whole_at.clone(), message.rest().is_some());
+            link.sock.when_whole(move || {
+                told.figures.with(|f| f.sends += 1);
+                whole_at.set(Some(Instant::now()));
+                if comes {
+                    told.body_sent(attempt.request);
+                }
+            });
+            if message.rest().is_some_and(Rest::is_there) {
+                hub.body_taken(attempt.request);
+            } else if message.rest().is_some() {
+                // Its rest went with an attempt before; nothing of this one is sent.
+                return Ended::Without(Outcome::NotSent);
+            }
         }
         let request = message.request(end);
-        let ended = timeout_at(end.into(), converse(&mut link, request)).await;
+        let sock = link.sock.clone();
+        let ended = match message.rest() {
+            None => timeout_at(end.into(), converse(&mut link, request)).await.ok(),
+            Some(rest) => {
+                let limit = || match whole_at.get() {
+                    Some(at) => at + end.saturating_duration_since(sent),
+                    None if rest.uptake.waits.get() => Instant::now() + UPTAKE_LOOK,
+                    None => sock.moved().max(sent) + UPTAKE_STALLED,
+                };
+                by_progress(converse(&mut link, request), limit).await
+            }
+        };
         drop(expected);
-        let (any, whole) = (link.sock.any(), link.sock.whole());
-        if ended.is_err() && whole && !link.sock.heard_any() {
+        let (any, whole) = (sock.any(), sock.whole());
+        if ended.is_none() && whole && !link.sock.heard_any() {
             pool.distrust(server, sent);
         }
         return Ended::Without(match ended {
             // A kept connection that was closed before the first byte was written: nothing was sent, so this
             // is still the same attempt.
-            Ok(Err(_)) if reused && !any => continue,
-            Ok(Ok(heard)) => {
+            Some(Err(_)) if reused && !any && message.rest().is_none_or(Rest::is_there) => continue,
+            Some(Ok(heard)) => {
                 pool.heard(server, sent);
                 return heard.ends(servers, server, link, attempt);
             }
-            Ok(Err(Broken::Link)) if whole => Outcome::Reset,
-            Ok(Err(Broken::Garbled)) if whole => Outcome::Error,
-            Ok(Err(_)) => Outcome::ConnectFailed,
+            Some(Err(Broken::Link)) if whole => Outcome::Reset,
+            Some(Err(Broken::Garbled)) if whole => Outcome::Error,
+            // What its client broke off says nothing of the server.
+            Some(Err(_)) if message.rest().is_some() && any => Outcome::NotSent,
+            Some(Err(_)) => Outcome::ConnectFailed,
             // A kept connection that is dead must not pass for a slow server: that would eject it, and lower its limit,
             // for each connection that was kept. One that is slow with all it has is not overtaken.
-            Err(_) if whole && reused && !link.sock.heard_any() && pool.overtaken(server, sent) => {
+            None if whole && reused && !link.sock.heard_any() && pool.overtaken(server, sent) => {
                 Outcome::Unheard
             }
-            Err(_) if whole => Outcome::TimedOut,
-            Err(_) => Outcome::NotSent,
+            None if whole => Outcome::TimedOut,
+            None => Outcome::NotSent,
         });
     }
 }
 
+/// Waits for something for as long as its limit moves on; `None` once that is past.
+async fn by_progress<T>(something: impl Future<Output = T>, limit: impl Fn() -> Instant) -> Option<T> {
+    let mut something = pin!(something);
+    loop {
+        let until = limit();
+        match timeout_at(until.into(), &mut something).await {
+            Ok(done) => return Some(done),
+            Err(_) if limit() <= Instant::now() => return None,
+            Err(_) => {}
+        }
+    }
+}
+
 /// How an answer says where it ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Framing {
--- a/crates/node/src/blocks.rs
+++ b/crates/node/src/blocks.rs
@@ -1,13 +1,15 @@
 //! Bodies in blocks of one size. Bodies of all sizes in one piece each leave holes in the heap that the next one does not
 //! fit into, and growing ones are held twice.
 
-use std::convert::Infallible;
+use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 
 use bytes::{Bytes, BytesMut};
-use hyper::body::{Body, Frame, SizeHint};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+
+use crate::call::{Cut, LARGE_MOST};
 
 /// How large a block is.
 const BLOCK: usize = 16 * 1024;
@@ -100,39 +102,113 @@
     }
 }
 
+/// How far the rest of a body has come that goes on while it comes.
+#[derive(Debug, Default)]
+pub struct Uptake {
+    /// The other side could take more, and nothing has come.
+    pub waits: Cell<bool>,
+    /// Its last byte has been handed on.
+    pub ended: Cell<bool>,
+}
+
+/// The rest of a body, which can be had once.
+pub struct Rest {
+    body: RefCell<Option<Incoming>>,
+    /// How long the whole body is, where its head says so.
+    pub length: Option<usize>,
+    /// How far it has come.
+    pub uptake: Rc<Uptake>,
+}
+
+impl Rest {
+    /// What is still to come of a body that is so long in all.
+    pub fn new(body: Incoming, length: Option<usize>) -> Self {
+        Self { body: RefCell::new(Some(body)), length, uptake: Rc::default() }
+    }
+
+    /// Is it still there?
+    pub fn is_there(&self) -> bool {
+        self.body.borrow().is_some()
+    }
+}
+
 /// A body on its way out, once.
 pub struct Sending {
     blocks: Blocks,
     next: usize,
-    left: usize,
+    /// What is left of the whole; `None` where only its end tells.
+    left: Option<usize>,
+    /// How much has gone.
+    gone: usize,
+    rest: Option<(Incoming, Rc<Uptake>)>,
+}
+
+impl Sending {
+    /// The blocks, and the rest behind them.
+    pub fn with_rest(blocks: Blocks, rest: &Rest) -> Self {
+        let body = rest.body.borrow_mut().take();
+        let rest_of = body.map(|body| (body, rest.uptake.clone()));
+        Self { blocks, next: 0, left: rest.length, gone: 0, rest: rest_of }
+    }
+
+    fn took(&mut self, bytes: usize) -> Result<(), Cut> {
+        self.gone += bytes;
+        if let Some(left) = &mut self.left {
+            *left = left.checked_sub(bytes).ok_or(Cut)?;
+        }
+        if self.gone > LARGE_MOST {
+            return Err(Cut);
+        }
+        Ok(())
+    }
 }
 
 impl From<Blocks> for Sending {
     fn from(blocks: Blocks) -> Self {
-        Self { left: blocks.len, blocks, next: 0 }
+        Self { left: Some(blocks.len), blocks, next: 0, gone: 0, rest: None }
     }
 }
 
 impl Body for Sending {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = Cut;
 
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let block = self.blocks.all.get(self.next).cloned();
-        self.next += 1;
-        self.left -= block.as_ref().map_or(0, Bytes::len);
-        Poll::Ready(block.map(|block| Ok(Frame::data(block))))
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        if let Some(block) = self.blocks.all.get(self.next).cloned() {
+            self.next += 1;
+            return Poll::Ready(Some(self.took(block.len()).map(|()| Frame::data(block))));
+        }
+        loop {
+            let Some((body, uptake)) = self.rest.as_mut() else { return Poll::Ready(None) };
+            let frame = Pin::new(body).poll_frame(cx);
+            uptake.waits.set(frame.is_pending());
+            match ready!(frame) {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) if !data.is_empty() => {
+                        let taken = self.took(data.len());
+                        if let (Some(0), Some((_, uptake))) = (self.left, self.rest.as_ref()) {
+                            uptake.ended.set(true);
+                        }
+                        return Poll::Ready(Some(taken.map(|()| Frame::data(data))));
+                    }
+                    _ => {}
+                },
+                // The server sees a body that ends before its end, and does not begin.
+                Some(Err(_)) => return Poll::Ready(Some(Err(Cut))),
+                None => {
+                    uptake.ended.set(true);
+                    return Poll::Ready(None);
+                }
+            }
+        }
     }
 
     fn is_end_stream(&self) -> bool {
-        self.left == 0
+        self.left == Some(0)
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.left as u64)
+        self.left.map_or_else(SizeHint::default, |left| SizeHint::with_exact(left as u64))
     }
 }
 
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -14,7 +14,7 @@
 use hyper::header::{HeaderName, HeaderValue, COOKIE, HOST};
 use hyper::{HeaderMap, Method, Uri};
 
-use crate::blocks::Blocks;
+use crate::blocks::{Blocks, Rest};
 
 /// The largest body that is read whole in any case, either way.
 pub const BODY_MOST: usize = 64 * 1024;
@@ -64,6 +64,8 @@
     pub via: Via,
     /// Its body.
     pub body: Blocks,
+    /// What is still to come of its body, where that is too long to be kept.
+    pub rest: Option<Rest>,
     /// What it draws from the budget for bodies.
     pub held: Share,
 }
@@ -146,6 +148,11 @@
 }
 
 impl Call {
+    /// How long its body is in all, where that is known.
+    pub fn length(&self) -> Option<usize> {
+        self.rest.as_ref().map_or(Some(self.body.len()), |rest| rest.length)
+    }
+
     /// What a client's repeat of it has in common with it: its key, where it has one, and else what is asked for, by whom,
     /// about what, and with which estimate. Its id is new in each try. `seed` keeps others from making up numbers that meet.
     pub fn alike(&self, seed: u64) -> u64 {
@@ -246,6 +253,7 @@
             target,
             via: Via::Http(map),
             body: Blocks::default(),
+            rest: None,
             held: Budget::new(0).share(),
         }
     }
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -24,7 +24,7 @@
 use tokio::time::timeout;
 
 use super::table::{Client, Clients};
-use crate::blocks::{Blocks, Reading};
+use crate::blocks::{Blocks, Reading, Rest};
 use crate::call::{Call, Content, Cut, Reply, Via, BODY_MOST, KEY, LARGE_MOST, ORG, REMAINING, TXN};
 use crate::headers::end_to_end;
 use crate::hub::{end_of, Hub};
@@ -111,6 +111,7 @@
     let (hub, clients) = (&front.hub, &front.clients);
     let head = *request.method() == Method::HEAD;
     let length = body_as_it_comes(request.headers());
+    let mut came_whole = true;
     let asks_ready = request.uri().path() == "/ready";
     let mut answer = if asks_ready {
         let status = if hub.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
@@ -128,7 +129,11 @@
                 sock.look_ahead(length);
                 // Its time counts from its last byte.
                 let arrived = if sock.phase().0 == Phase::Reading { sock.came_at() } else { Instant::now() };
-                sock.enter(Phase::Busy);
+                match &asked.call.rest {
+                    None => sock.enter(Phase::Busy),
+                    Some(rest) => sock.body_goes_on(rest.uptake.clone()),
+                }
+                came_whole = asked.call.rest.is_none();
                 settle(hub, asked, arrived, remaining).await
             }
             Err(bad) => (bad.answer(), End::Errored),
@@ -145,7 +150,7 @@
     let of_no_use = asks_ready && hub.stopping.get().is_some();
     // One that does not say its length has an end that is not watched for.
     let open_ended = body_length(&answer).is_none();
-    if hub.closing.get() || of_no_use || open_ended || (first && clients.many_idle()) {
+    if hub.closing.get() || of_no_use || open_ended || !came_whole || (first && clients.many_idle()) {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     if sock.phase().0 == Phase::Reading {
@@ -206,6 +211,7 @@
         deadline: began + remaining.as_secs_f64() * 1000.0,
         alike: Some(asked.call.alike(hub.config.seed)),
         work: asked.call.work(),
+        coming: asked.call.rest.is_some(),
         payload: Rc::new(asked.call),
     };
     let (answer, answered) = oneshot::channel();
@@ -342,7 +348,8 @@
     }
     let uri = uri.build().map_err(|_| unread(StatusCode::BAD_REQUEST))?;
     sock.body_begins();
-    let (body, held) = collect(hub, body, declared.unwrap_or(0) as usize).await?;
+    let Collected { body, rest, held } = collect(hub, body, declared.unwrap_or(0) as usize).await?;
+    let rest = rest.map(|rest| Rest::new(rest, declared.map(|length| length as usize)));
     let mut headers = end_to_end(&parts.headers);
     headers.remove(REMAINING);
     if !headers.contains_key(HOST) {
@@ -356,33 +363,39 @@
         target: uri,
         via: Via::Http(headers),
         body,
+        rest,
         held,
     };
     Ok((Asked { call }, remaining))
 }
 
-/// Reads a body whole. What is longer than any may be is kept within the one budget for all of them.
-async fn collect(hub: &Hub, mut body: Incoming, declared: usize) -> Result<(Blocks, Share), Bad> {
+/// A body as it was read, what is still to come of it, and what it draws from the budget.
+struct Collected {
+    body: Blocks,
+    rest: Option<Incoming>,
+    held: Share,
+}
+
+/// Reads a body whole, where what is longer than any may be finds a place in the one budget for all of them; else as far as
+/// that goes.
+async fn collect(hub: &Hub, mut body: Incoming, declared: usize) -> Result<Collected, Bad> {
     let closes = |status| Bad { status, closes: true };
-    let full = || closes(StatusCode::SERVICE_UNAVAILABLE);
-    let mut share = hub.bodies.share();
-    if !share.grow(declared.saturating_sub(BODY_MOST)) {
-        return Err(full());
-    }
-    let mut read = Reading::default();
-    while let Some(frame) = body.frame().await {
+    let (mut read, mut held) = (Reading::default(), hub.bodies.share());
+    let mut fits = held.grow(declared.saturating_sub(BODY_MOST));
+    while fits {
+        let Some(frame) = body.frame().await else {
+            return Ok(Collected { body: read.end(), rest: None, held });
+        };
         let Ok(frame) = frame else { return Err(closes(StatusCode::BAD_REQUEST)) };
         let Ok(data) = frame.into_data() else { continue };
         if read.len() + data.len() > LARGE_MOST {
             return Err(closes(StatusCode::PAYLOAD_TOO_LARGE));
         }
-        let wanted = (read.len() + data.len()).saturating_sub(BODY_MOST);
-        if wanted > share.size() && !share.grow(wanted - share.size()) {
-            return Err(full());
-        }
         read.push(&data);
+        let wanted = read.len().saturating_sub(BODY_MOST).saturating_sub(held.size());
+        fits = held.grow(wanted);
     }
-    Ok((read.end(), share))
+    Ok(Collected { body: read.end(), rest: Some(body), held })
 }
 
 /// Checks what a request must bring, and gives its id, its key and its time.
--- a/crates/node/src/front/msgpack.rs
+++ b/crates/node/src/front/msgpack.rs
@@ -318,6 +318,7 @@
             target,
             via: Via::Rpc { org, user },
             body: body.into(),
+            rest: None,
             held: self.hub.bodies.share(),
         };
         let alike = Some(call.alike(self.hub.config.seed));
@@ -330,6 +331,7 @@
             deadline,
             alike,
             work: call.work(),
+            coming: false,
             payload: Rc::new(call),
         })
     }
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -461,6 +461,16 @@
         self.tell(|core, now| core.attempt_ended(now, attempt, ended));
     }
 
+    /// The body of a request is being taken from its client, and can't be sent again.
+    pub fn body_taken(&self, request: RequestId) {
+        self.tell(|core, now| core.body_taken(now, request));
+    }
+
+    /// The last byte of a request whose body was still coming has gone on.
+    pub fn body_sent(&self, request: RequestId) {
+        self.tell(|core, now| core.body_sent(now, request));
+    }
+
     /// A server is done with an attempt that ran on.
     pub fn attempt_left(&self, attempt: AttemptId) {
         self.tell(|core, now| core.attempt_left(now, attempt));
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -66,7 +66,7 @@
         match self.hub.place(server).map(|place| place.dial.protocol) {
             Some(Protocol::Http1) => self.http1.start(attempt, server, end, call),
             // A message is one piece, and nobody takes one so long: it was never sent.
-            Some(Protocol::Msgpack) if call.body.len() > BODY_MOST => {
+            Some(Protocol::Msgpack) if call.rest.is_some() || call.body.len() > BODY_MOST => {
                 self.hub.attempt_ended(attempt, Ended::Without(Outcome::NotSent));
             }
             Some(Protocol::Msgpack) => self.msgpack.start(attempt, server, end, call),
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -13,6 +13,8 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
+use crate::blocks::Uptake;
+
 /// How much one read takes at the most.
 const CHUNK: usize = 16 * 1024;
 
@@ -35,11 +37,17 @@
     /// What is missing of the body; `None` until the head is out.
     left: Option<usize>,
     any: bool,
+    /// Of one whose length is not known: how far its body has come, and its last bytes.
+    open: Option<Rc<Uptake>>,
+    last: [u8; 5],
 }
 
 impl Progress {
     fn took(&mut self, bytes: &[u8]) {
         self.any |= !bytes.is_empty();
+        if self.open.is_some() {
+            push_last(&mut self.last, bytes);
+        }
         let mut rest = bytes;
         while self.left.is_none() {
             let Some((byte, after)) = rest.split_first() else { return };
@@ -53,7 +61,10 @@
     }
 
     fn whole(&self) -> bool {
-        self.left == Some(0)
+        match &self.open {
+            None => self.left == Some(0),
+            Some(uptake) => uptake.ended.get() && &self.last == b"0\r\n\r\n",
+        }
     }
 }
 
@@ -139,6 +150,8 @@
     body: Cell<Option<(Instant, usize)>>,
     /// When the other side last took anything.
     moved: Cell<Instant>,
+    /// How far the body of the present request has come, where it goes on while it comes.
+    uptake: RefCell<Option<Rc<Uptake>>>,
     /// What came of the present request, from its first byte on; `None` where that is not known.
     head: RefCell<Option<Vec<u8>>>,
 }
@@ -181,6 +194,7 @@
             last: Cell::default(),
             body: Cell::new(None),
             moved: Cell::new(now),
+            uptake: RefCell::default(),
             head: RefCell::default(),
         }))
     }
@@ -192,6 +206,12 @@
         self.when_whole.take();
     }
 
+    /// A message is about to be written whose body ends with its last chunk.
+    pub fn begin_open(&self, uptake: Rc<Uptake>) {
+        self.begin(usize::MAX);
+        self.out.borrow_mut().open = Some(uptake);
+    }
+
     /// Tells when the kernel has taken the last byte of the message that was begun.
     pub fn when_whole(&self, tell: impl FnOnce() + 'static) {
         self.when_whole.set(Some(Box::new(tell)));
@@ -236,6 +256,10 @@
             return false;
         }
         let Some((began, before)) = self.body.get() else { return Instant::now() >= self.due.get() };
+        // Where nobody asks for more it is not its client that is slow.
+        if self.uptake.borrow().as_ref().is_some_and(|u| u.ended.get() || !u.waits.get()) {
+            return false;
+        }
         let came = self.came.get().saturating_sub(before) as f64;
         self.came_at.get().elapsed() >= BODY_PAUSE
             || began.elapsed() >= BODY_GRACE + Duration::from_secs_f64(came / BODY_PACE)
@@ -246,6 +270,11 @@
         self.body.set(Some((Instant::now(), self.came.get())));
     }
 
+    /// The body of the present request goes on while it comes.
+    pub fn body_goes_on(&self, uptake: Rc<Uptake>) {
+        self.uptake.replace(Some(uptake));
+    }
+
     /// When the last byte came that was read so far.
     pub fn came_at(&self) -> Instant {
         self.came_at.get()
@@ -420,6 +449,7 @@
         self.enter(Phase::Reading);
         self.came.set(0);
         self.body.set(None);
+        self.uptake.take();
         self.began.set(self.since.get());
         if later {
             self.due.set(self.since.get() + REQUEST_WITHIN);
--- a/crates/node/tests/large.rs
+++ b/crates/node/tests/large.rs
@@ -290,3 +290,71 @@
         assert_eq!(client.hear().map(|m| m.status()), Some(200), "{end:?}");
     }
 }
+
+/// A node that keeps a megabyte of one body at the most.
+fn ready_small(peer: &Peer) -> (Node, Registry) {
+    let registry = Registry::new(&[host("s0", peer.address, "active", 0)]);
+    let mut told = config(registry.address);
+    told["limits"]["memory_mb"] = serde_json::json!(8);
+    (Node::ready(&told), registry)
+}
+
+fn post(txn: &str, remaining: u64, framing: &str) -> String {
+    request("slip", txn, remaining).replace("Content-Length: 4\r\n\r\nwork", &format!("{framing}\r\n\r\n"))
+}
+
+#[test]
+fn a_body_too_long_to_be_kept_goes_on_while_it_comes() {
+    let peer = Peer::new(|m| Say::This(answer(200, "", &m.body.len().to_string())));
+    let (node, _registry) = ready_small(&peer);
+    let long = String::from_utf8(body(5_000_000).iter().map(|b| b'a' + b % 26).collect()).expect("text");
+    let whole = post("a", 10_000, "Content-Length: 5000000") + &long;
+    let chunks = format!("{}4c4b40\r\n{long}\r\n0\r\n\r\n", post("b", 10_000, "Transfer-Encoding: chunked"));
+    for words in [whole, chunks] {
+        assert_eq!(Client::to(&node).ask(&words).body, b"5000000");
+    }
+    let seen = peer.seen();
+    assert!(seen.len() == 2 && seen.iter().all(|m| m.body == long.as_bytes()), "each once, unchanged");
+    assert!(node.peak_memory() < 30 << 20, "{} bytes, in a build for tests", node.peak_memory());
+}
+
+#[test]
+fn one_that_goes_on_while_it_comes_has_its_time_from_its_last_byte_and_is_sent_once() {
+    let peer = Peer::new(|_| Say::This(answer(500, "", "")));
+    let (node, _registry) = ready_small(&peer);
+    let mut client = Client::to(&node);
+    client.send(&(post("a", 1000, "Content-Length: 2100000") + &"x".repeat(2_000_000)));
+    let began = Instant::now();
+    for _ in 0..20 {
+        std::thread::sleep(Duration::from_millis(100));
+        client.send(&"x".repeat(5000));
+    }
+    assert!(began.elapsed() > Duration::from_millis(1900), "longer than the time that is left");
+    assert_eq!(client.hear().map(|m| m.status()), Some(502));
+    assert_eq!(peer.seen().len(), 1);
+}
+
+#[test]
+fn a_server_that_takes_no_more_of_a_long_body_is_given_up_and_never_ran() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("bound");
+    let stuck = std::thread::spawn(move || listener.accept().map(|(stream, _)| stream));
+    let registry = Registry::new(&[host("s0", at, "active", 0)]);
+    let mut told = config(registry.address);
+    told["limits"]["memory_mb"] = serde_json::json!(8);
+    told["settings"]["Limits"]["Probes"] = serde_json::json!(false);
+    let node = Node::ready(&told);
+    let mut stream = TcpStream::connect(node.address).expect("the node listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+    let mut out = stream.try_clone().expect("a socket");
+    let writes = std::thread::spawn(move || {
+        let _ = out.write_all(post("a", 10_000, "Content-Length: 30000000").as_bytes());
+        let _ = out.write_all(&vec![b'x'; 30_000_000]);
+    });
+    let mut head = [0; 12];
+    stream.read_exact(&mut head).expect("an answer");
+    assert_eq!(&head, b"HTTP/1.1 503", "its last byte was never written: it can't have run");
+    drop(stream);
+    let _ = writes.join();
+    drop(stuck);
+}
--- a/crates/node/tests/peers/mod.rs
+++ b/crates/node/tests/peers/mod.rs
@@ -59,6 +59,17 @@
         }
     }
     let mut message = Message { head, body: Vec::new(), conn };
+    while message.header("transfer-encoding").is_some() {
+        let mut line = String::new();
+        from.read_line(&mut line).ok()?;
+        let size = usize::from_str_radix(line.trim().split(';').next()?, 16).ok()?;
+        let mut chunk = vec![0; size + 2];
+        from.read_exact(&mut chunk).ok()?;
+        message.body.extend(&chunk[..size]);
+        if size == 0 {
+            return Some(message);
+        }
+    }
     let length = message.header("content-length").map_or(0, |v| v.parse().expect("a length"));
     message.body = vec![0; length];
     from.read_exact(&mut message.body).ok()?;
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -339,6 +339,8 @@
         /// The client's guess at its work, as time on a standard core; `None` where it gives none.
         work: Option<Millis>,
     },
+    /// The body of this request is on its way out, and can't be sent again: no other attempt can be made.
+    Spent(RequestId),
     /// A streamed answer has begun; the client is bound to this attempt.
     Streaming {
         /// The request.
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -188,7 +188,15 @@
     came: Millis,
     deadline: Millis,
     attempts: Vec<Attempt>,
-    bound: bool,
+    bound: Bound,
+}
+
+/// What binds a request to the attempt that is out: its body, which can't be sent again, or its answer.
+#[derive(PartialEq)]
+enum Bound {
+    Free,
+    Body,
+    Answer,
 }
 
 struct Attempt {
@@ -287,7 +295,8 @@
         let mut ran = self.attempts.iter().filter(|a| !a.outcome.is_some_and(Outcome::never_ran));
         if to.is_some() {
             let pending = self.attempts.iter().any(|a| a.outcome.is_none());
-            if self.attempts.len() >= limits.attempts || (pending && !limits.second_copies) {
+            let bound = self.bound != Bound::Free || self.attempts.len() >= limits.attempts;
+            if bound || (pending && !limits.second_copies) {
                 return false;
             }
         }
@@ -373,9 +382,8 @@
             }
             Event::DiscoveryMoved => {}
             event @ Event::Request { .. } => self.on_request(event, actions),
-            Event::Settings { settings, classes, tenants } => {
-                self.on_settings(*settings, &classes, &tenants);
-            }
+            Event::Settings { settings, classes, tenants } => self.on_settings(*settings, &classes, &tenants),
+            Event::Spent(id) => self.requests.get_mut(&id).into_iter().for_each(|r| r.bound = Bound::Body),
             Event::Streaming { id, attempt } => self.on_streaming(id, attempt, actions),
             event @ Event::Ended { .. } => self.on_ended(event, actions),
             Event::RunsOn { id, attempt, server } => {
@@ -514,9 +522,8 @@
             });
             if entry.started != server.entry.started {
                 // It restarted: what was seen of the process before says nothing about this one.
-                (server.consecutive_failures, server.ejections, server.ejected, server.returned) =
-                    (0, 0, None, None);
-                server.down = false;
+                (server.consecutive_failures, server.ejections, server.down) = (0, 0, false);
+                (server.ejected, server.returned) = (None, None);
             }
             if !server.listed_up() || entry.started != server.entry.started {
                 server.turn = f64::NAN;
@@ -858,7 +865,7 @@
         };
         let (attempts, came) = (Vec::new(), self.now);
         let asked = (came - self.age(class, deadline)).min(first.as_ref().map_or(came, |u| u.asked));
-        let bound = false;
+        let bound = Bound::Free;
         let request =
             Request { class, effect, tenant, in_share, alike, work, asked, came, deadline, attempts, bound };
         if first.is_none() {
@@ -984,7 +991,7 @@
 
     fn on_streaming(&mut self, id: RequestId, attempt: usize, actions: &mut Vec<Action>) {
         if let Some(request) = self.requests.get_mut(&id) {
-            request.bound = true;
+            request.bound = Bound::Answer;
             for (n, a) in request.attempts.iter().enumerate() {
                 if n != attempt && a.outcome.is_none() && self.set.limits.cancel {
                     actions.push(Action::Cancel { id, attempt: n });
@@ -1015,7 +1022,7 @@
         let Some(ended) = request.attempts.get_mut(attempt).filter(|a| a.outcome.is_none()) else { return };
         ended.outcome = Some(outcome);
         let (class, at_limit, alone) = (request.class, ended.at_limit, ended.alone);
-        let open = request.pending() || request.bound;
+        let open = request.pending() || request.bound == Bound::Answer;
         self.learn(server, class, outcome, took, at_limit, alone);
         if finished {
             if let Some(request) = self.requests.remove(&id) {
@@ -1137,7 +1144,7 @@
     fn forget(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         if let Some(request) = self.requests.remove(&id) {
             for (attempt, a) in request.attempts.iter().enumerate() {
-                if a.outcome.is_none() && self.set.limits.cancel && !request.bound {
+                if a.outcome.is_none() && self.set.limits.cancel && request.bound != Bound::Answer {
                     actions.push(Action::Cancel { id, attempt });
                 }
             }
--- a/crates/testkit/tests/storm.rs
+++ b/crates/testkit/tests/storm.rs
@@ -197,6 +197,7 @@
                 deadline,
                 alike: None,
                 work: None,
+                coming: false,
                 payload: (),
             };
             self.counts.asked += 1;
