Listening sockets are handed on, and two processes keep within the descriptors of one node

Need: limits count for both processes of an upgrade together, and up to 330 of 384 descriptors were held with each in its own bound (Config::clients_most and servers_most, which know of one process). A stopping node refused requests that its successor would have served (Clients::all_in_use).

Change: crates/operation/upgrade (who is beside whom, and what is left for each; no I/O) and node/upgrade.rs: a Unix socket in $TMPDIR, SCM_RIGHTS by rustix, one backlog; bounds that can change while connections stand; after SIGTERM with a successor nothing new is taken, answers say Connection: close, and the process ends once it is empty. Without a common folder, or where Unix sockets are refused, all is as before.

--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -18,7 +18,7 @@
 /// The descriptors that connections to servers may hold.
 pub struct Descriptors {
     held: Rc<Cell<usize>>,
-    most: usize,
+    most: Cell<usize>,
     idle: RefCell<Vec<Weak<dyn Idle>>>,
 }
 
@@ -34,7 +34,7 @@
 impl Descriptors {
     /// None is held yet.
     pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Self { held: Rc::default(), most, idle: RefCell::default() })
+        Rc::new(Self { held: Rc::default(), most: Cell::new(most), idle: RefCell::default() })
     }
 
     /// Connections of `owner` may be closed where there is no descriptor left.
@@ -47,9 +47,20 @@
         self.idle.borrow().iter().filter_map(Weak::upgrade).any(|owner| owner.evict())
     }
 
+    /// So many there may be from now on; idle ones beyond that are closed.
+    pub fn bound(&self, most: usize) {
+        self.most.set(most);
+        while self.held.get() > most && self.evict() {}
+    }
+
+    /// How many are held.
+    pub fn held(&self) -> usize {
+        self.held.get()
+    }
+
     /// A descriptor, where there is one or an idle connection makes room.
     pub fn reserve(&self) -> Option<Held> {
-        if self.held.get() >= self.most && !self.evict() {
+        if self.held.get() >= self.most.get() && !self.evict() {
             return None;
         }
         self.held.set(self.held.get() + 1);
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -63,14 +63,21 @@
     }
 
     /// Descriptors that are nobody's connection.
-    fn reserve(&self) -> usize {
+    pub fn reserve(&self) -> usize {
         RESERVE + if self.mgmt.is_some() { DOOR + self.callers_most() } else { 0 }
     }
 
     /// How many connections of clients there may be: half of what the process itself does not need, within what
     /// memory can bear.
     pub fn clients_most(&self) -> usize {
-        ((self.sockets - self.reserve()) / 2).min(self.memory_mb * CLIENTS_PER_MB).max(1)
+        self.parts(self.sockets).0
+    }
+
+    /// How connections of clients and to servers share so many descriptors.
+    pub fn parts(&self, descriptors: usize) -> (usize, usize) {
+        let all = descriptors.saturating_sub(self.reserve());
+        let clients = (all / 2).min(self.memory_mb * CLIENTS_PER_MB).max(1);
+        (clients, all.saturating_sub(clients).max(1))
     }
 
     /// How many bytes bodies may take beyond what each connection is reckoned with.
@@ -80,7 +87,7 @@
 
     /// How many connections to servers there may be: the rest.
     pub fn servers_most(&self) -> usize {
-        self.sockets - self.reserve() - self.clients_most()
+        self.parts(self.sockets).1
     }
 }
 
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -150,7 +150,13 @@
     let of_no_use = asks_ready && hub.stopping.get().is_some();
     // One that does not say its length has an end that is not watched for.
     let open_ended = body_length(&answer).is_none();
-    if hub.closing.get() || of_no_use || open_ended || !came_whole || (first && clients.many_idle()) {
+    if hub.closing.get()
+        || hub.leaving.get()
+        || of_no_use
+        || open_ended
+        || !came_whole
+        || (first && clients.many_idle())
+    {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     if sock.phase().0 == Phase::Reading {
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Does another process take what the backlogs hold?
+    pub fn left_to_another(&self) -> bool {
+        self.clients.left_to_another()
+    }
+
     /// Accepts what the backlog still holds, but not without end what a crowd goes on adding to it.
     pub async fn empty_backlog(self: &Rc<Self>, listener: &TcpListener, speaks: Speaks) {
         let began = Instant::now();
--- a/crates/node/src/front/table.rs
+++ b/crates/node/src/front/table.rs
@@ -43,18 +43,29 @@
     hub: Rc<Hub>,
     open: RefCell<HashMap<u64, Rc<Client>>>,
     last: Cell<u64>,
-    most: usize,
+    most: Cell<usize>,
     freed: Notify,
 }
 
 impl Clients {
     /// No connections yet.
     pub fn new(hub: Rc<Hub>) -> Rc<Self> {
-        let most = hub.config.clients_most();
+        let most = Cell::new(hub.config.clients_most());
         let (open, last, freed) = (RefCell::default(), Cell::new(0), Notify::new());
         Rc::new(Self { hub, open, last, most, freed })
     }
 
+    /// Does another process take what comes?
+    pub fn left_to_another(&self) -> bool {
+        self.hub.leaving.get()
+    }
+
+    /// So many there may be from now on.
+    pub fn bound(&self, most: usize) {
+        self.most.set(most);
+        self.freed.notify_one();
+    }
+
     /// How many connections there are.
     pub fn count(&self) -> usize {
         self.open.borrow().len()
@@ -62,7 +73,7 @@
 
     /// Waits until there may be one more connection; one that is of little use makes room.
     pub async fn room(&self) {
-        while self.count() >= self.most && !self.evict() {
+        while self.count() >= self.most.get() && !self.evict() {
             self.freed.notified().await;
         }
     }
@@ -121,7 +132,8 @@
     /// servers that would tie up all connections of a stopping node. It does harm where another node would have served
     /// those few, so it holds only while this one stops.
     pub fn all_in_use(&self) -> bool {
-        if self.hub.stopping.get().is_none_or(|since| since.elapsed() < STILL_DEALT) {
+        if self.hub.leaving.get() || self.hub.stopping.get().is_none_or(|since| since.elapsed() < STILL_DEALT)
+        {
             return false;
         }
         self.idle() < SPARE.min(self.count() / 4)
@@ -140,7 +152,7 @@
     /// clients come for the first time at a quiet moment: each has to connect a second time; and while the node stops, when
     /// they get no new one.
     pub fn many_idle(&self) -> bool {
-        self.hub.stopping.get().is_none() && self.idle() >= self.most / IDLE_PART
+        self.hub.stopping.get().is_none() && self.idle() >= self.most.get() / IDLE_PART
     }
 
     /// Closes one connection, those first that never said a word, then the one that has been idle for longest, then
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -93,6 +93,8 @@
     pub stopping: Cell<Option<Instant>>,
     /// Its clients' addresses are open.
     pub listening: Cell<bool>,
+    /// It is to end, and another process takes what comes: clients are told to go there with their answers.
+    pub leaving: Cell<bool>,
     /// Set shortly before the node ends: connections then close when they can.
     pub closing: Cell<bool>,
     /// Set when what is still open is failed: nothing more is taken.
@@ -145,6 +147,7 @@
             bodies: Budget::new(config.bodies_most()),
             stopping: Cell::new(None),
             listening: Cell::new(false),
+            leaving: Cell::new(false),
             closing: Cell::new(false),
             failing: Cell::new(false),
             told: RefCell::new(Rc::new(told)),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod registrations;
 pub mod runtime;
 pub mod sock;
+pub mod upgrade;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -2,14 +2,16 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use glenwood_core::{AttemptId, Ended};
+use glenwood_operation::upgrade::Incumbent;
 use glenwood_policy::{Discovery, Outcome, ServerId};
 use serde_json::Value;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, UnixListener};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{spawn_local, AbortHandle};
 
@@ -24,6 +26,7 @@
 use crate::list::Protocol;
 use crate::log;
 use crate::registrations;
+use crate::upgrade::{self, Holder};
 
 /// How long connections still come after SIGTERM, at the least.
 const ACCEPT: Duration = Duration::from_millis(500);
@@ -160,7 +163,8 @@
     addresses.extend(config.operator.msgpack_listen.map(|at| (at, Speaks::Msgpack)));
     // A connection that the kernel deals to this process must be served. Where none is beside it, clients see by its refusals
     // that it is not ready; where one is, they see nothing of a process that does not listen yet.
-    let beside = addresses.iter().any(|(at, _)| is_taken(*at));
+    let met = upgrade::place(config.listen).as_deref().and_then(upgrade::meet);
+    let beside = met.is_some() || addresses.iter().any(|(at, _)| is_taken(*at));
     type Listeners = Vec<(TcpListener, Speaks)>;
     let listen_all = || -> Result<Listeners, String> {
         addresses.iter().map(|(at, speaks)| Ok((listen(*at)?, *speaks))).collect()
@@ -205,7 +209,11 @@
             _ = terminate.recv() => return Ok(()),
             _ = interrupt.recv() => return Ok(()),
         }
-        listeners = listen_all()?;
+        let handed = met.as_ref().map_or(&[][..], |met| &met.listeners);
+        listeners = match handed_on(handed, &addresses) {
+            Some(handed) => handed,
+            None => listen_all()?,
+        };
     }
     hub.listening.set(true);
     hub.show();
@@ -220,7 +228,27 @@
     if let Some(listener) = inspecting {
         spawn_local(inspect::answer(hub.clone(), listener, operator));
     }
-    let fronts = Fronts::new(&hub, descriptors);
+    let fronts = Fronts::new(&hub, descriptors.clone());
+    let bound = {
+        let (hub, fronts, descriptors) = (hub.clone(), fronts.clone(), descriptors.clone());
+        move |most: usize| {
+            let (clients, servers) = hub.config.parts(most);
+            fronts.clients.bound(clients);
+            descriptors.bound(servers);
+        }
+    };
+    let all = hub.config.sockets;
+    if let Some(met) = met {
+        // Until it is heard what the other one holds it may be half.
+        bound(all / 2);
+        spawn_local(met.follow(all, bound.clone()));
+    }
+    let holder = hold(&hub, &listeners).map(|(holder, listener)| {
+        let (hub, fronts) = (hub.clone(), fronts.clone());
+        let held = move || hub.config.reserve() + fronts.clients.count() + descriptors.held();
+        spawn_local(holder.clone().answer(listener, all, held, bound));
+        holder
+    });
     spawn_local(sweep(links.clone(), fronts.clone()));
     spawn_local(reload(links.clone(), hangup));
     let accepting: Vec<AbortHandle> = listeners
@@ -233,7 +261,10 @@
                     () = fronts.accept(&listener, speaks) => {}
                     () = fronts.no_more.notified() => {}
                 }
-                fronts.empty_backlog(&listener, speaks).await;
+                // What is left there is its successor's, where it has one.
+                if !fronts.left_to_another() {
+                    fronts.empty_backlog(&listener, speaks).await;
+                }
             })
             .abort_handle()
         })
@@ -242,11 +273,40 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
+    holder.iter().for_each(|holder| holder.stop());
+    hub.leaving.set(holder.is_some_and(|holder| holder.stage() == Incumbent::Succeeded));
     stop(&hub, &fronts, &accepting).await;
     inspect.as_deref().into_iter().for_each(inspect::remove);
     Ok(())
 }
 
+/// The sockets that another process handed on, each with what is spoken there; `None` where they are not those that this one
+/// is to listen at.
+fn handed_on(
+    handed: &[std::net::TcpListener],
+    addresses: &[(SocketAddr, Speaks)],
+) -> Option<Vec<(TcpListener, Speaks)>> {
+    let find = |(at, speaks): &(SocketAddr, Speaks)| {
+        let listener =
+            handed.iter().find(|l| l.local_addr().is_ok_and(|own| own == *at))?.try_clone().ok()?;
+        listener.set_nonblocking(true).ok()?;
+        Some((TcpListener::from_std(listener).ok()?, *speaks))
+    };
+    addresses.iter().map(find).collect()
+}
+
+/// Makes the place where a successor finds this process, with the sockets for it.
+fn hold(hub: &Hub, listeners: &[(TcpListener, Speaks)]) -> Option<(Rc<Holder>, UnixListener)> {
+    let first = listeners.first()?.0.local_addr().ok()?;
+    let copy = |(listener, _): &(TcpListener, Speaks)| listener.as_fd().try_clone_to_owned().ok();
+    let sockets = listeners.iter().map(copy).collect::<Option<Vec<_>>>()?;
+    let opened = Holder::open(upgrade::place(first)?, sockets);
+    if opened.is_some() {
+        log::line(format!("{} can hand its listening sockets on", hub.config.name));
+    }
+    opened
+}
+
 /// Takes over what a new configuration says of discovery and the settings, also while the node stops. A file that can't be read
 /// changes nothing. Signals that come in quick succession are one: the file is read after the last.
 async fn reload(links: Rc<Links>, mut hangup: Signal) {
@@ -308,7 +368,11 @@
     hub.stop();
     let killed = patience(hub.told().longest_deadline);
     let after = |before: Duration| told.elapsed() >= killed.saturating_sub(before);
-    while told.elapsed() < ACCEPT || (clients.count() > 0 && !after(CLOSE_BEFORE)) {
+    if hub.leaving.get() {
+        fronts.no_more.notify_waiters();
+    }
+    let accept = if hub.leaving.get() { Duration::ZERO } else { ACCEPT };
+    while told.elapsed() < accept || (clients.count() > 0 && !after(CLOSE_BEFORE)) {
         tokio::time::sleep(LOOK).await;
     }
     hub.closing.set(true);
--- a/crates/node/tests/operation.rs
+++ b/crates/node/tests/operation.rs
@@ -372,3 +372,161 @@
     assert_eq!((transactions(door, "slip", "answered"), transactions(door, "pay", "answered")), (1, 1));
     assert_eq!(transactions(door, "other", "answered"), 1);
 }
+
+/// A folder that two processes have in common.
+fn folder(name: &str) -> std::path::PathBuf {
+    let folder = std::env::temp_dir().join(format!("glenwood-operation-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+/// The configuration of one that is to stand beside this one.
+fn beside(config: &Value, node: &Node) -> Value {
+    let mut config = config.clone();
+    config["listen"] = json!(node.address.to_string());
+    config
+}
+
+#[test]
+fn a_successor_takes_the_same_backlog_and_the_old_one_refuses_nobody() {
+    let folder = folder("backlog");
+    let peer = Peer::new(|_| Say::Later(Duration::from_millis(20), answer(200, "", "served")));
+    let registry = one_server(&peer);
+    let mut told = with_door(config(registry.address));
+    for n in 0..3 {
+        told["settings"]["Classes"][n]["Deadline"] = json!(1500.0);
+    }
+    let mut old = Node::started_in(&folder, &told).wait_listening();
+    old.wait_ready();
+    old.wait_said("can hand its listening sockets on");
+    let told = beside(&told, &old);
+    for round in 0..2 {
+        // More than the old one would keep free: left to itself it refuses some of them.
+        let mut kept: Vec<Client> = (0..12).map(|_| Client::at(old.address)).collect();
+        for (n, client) in kept.iter_mut().enumerate() {
+            assert_eq!(client.ask(&request("look", &format!("a{round}-{n}"), 5000)).status(), 200);
+        }
+        let new = Node::started_in(&folder, &told).wait_listening();
+        let door = door(&new);
+        until("the new process says yes", || get(door, "/ready").0 == 200);
+        assert!(old.logged("another process has the listening sockets too"));
+        old.terminate();
+        until("it stops", || {
+            call_at(self::door(&old), "GET /ready HTTP/1.1\r\n\r\n").is_none_or(|a| a.0 == 503)
+        });
+        std::thread::sleep(Duration::from_millis(250));
+        for (n, client) in kept.iter_mut().enumerate() {
+            client.send(&request("look", &format!("b{round}-{n}"), 5000));
+        }
+        for client in &mut kept {
+            let heard = client.hear().expect("an answer");
+            assert_eq!(heard.status(), 200);
+            assert_eq!(heard.header("connection"), Some("close"), "it is sent to the new process");
+        }
+        for n in 0..20 {
+            assert_eq!(
+                Client::at(new.address).ask(&request("look", &format!("c{round}-{n}"), 5000)).status(),
+                200
+            );
+        }
+        let waits = Instant::now();
+        assert_eq!(old.exit_code(), Some(0));
+        assert!(waits.elapsed() < Duration::from_millis(1000), "it ends as soon as it is empty");
+        old = new;
+    }
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+#[test]
+fn a_successor_that_dies_leaves_the_old_one_as_it_was_and_a_third_is_turned_away() {
+    let folder = folder("dies");
+    let peer = Peer::good("s0");
+    let registry = one_server(&peer);
+    let mut told = with_door(config(registry.address));
+    let old = Node::started_in(&folder, &told).wait_listening();
+    old.wait_ready();
+    told = beside(&told, &old);
+    // It can't serve, and so never listens.
+    registry.down(true);
+    let mut second = Node::started_in(&folder, &told);
+    until("the second has met it", || old.logged("another process has the listening sockets too"));
+    let third = Node::started_in(&folder, &told);
+    third.wait_said("another process listens at");
+    assert_eq!(old.log_lines("another process has"), 1, "one at a time");
+    for n in 0..40 {
+        assert_eq!(Client::to(&old).ask(&request("look", &format!("a{n}"), 5000)).status(), 200);
+    }
+    second.kill();
+    until("it is missed", || old.logged("the other process is gone"));
+    drop(third);
+    for n in 0..40 {
+        assert_eq!(Client::to(&old).ask(&request("look", &format!("b{n}"), 5000)).status(), 200);
+    }
+    registry.down(false);
+    let fourth = Node::started_in(&folder, &told).wait_listening();
+    until("the fourth says yes", || get(door(&fourth), "/ready").0 == 200);
+    assert_eq!(old.log_lines("another process has"), 2);
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+#[test]
+fn a_place_that_a_dead_process_left_is_in_nobodys_way() {
+    let folder = folder("dead");
+    let peer = Peer::good("s0");
+    let registry = one_server(&peer);
+    let told = with_door(config(registry.address));
+    let mut first = Node::started_in(&folder, &told).wait_listening();
+    first.wait_said("can hand its listening sockets on");
+    let told = beside(&told, &first);
+    first.kill();
+    assert!(std::fs::read_dir(&folder).expect("a folder").count() > 0, "its socket is left");
+    let second = Node::started_in(&folder, &told).wait_listening();
+    second.wait_ready();
+    second.wait_said("can hand its listening sockets on");
+    assert_eq!(Client::to(&second).ask(&request("look", "a", 5000)).status(), 200);
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+#[test]
+fn two_processes_hold_no_more_descriptors_than_one_node_may() {
+    let folder = folder("descriptors");
+    let peers: Vec<Peer> = (0..4)
+        .map(|_| Peer::new(|_| Say::Later(Duration::from_millis(300), answer(200, "", "served"))))
+        .collect();
+    let hosts: Vec<Value> =
+        peers.iter().enumerate().map(|(n, p)| host(&format!("s{n}"), p.address, "active", 0)).collect();
+    let registry = Registry::new(&hosts);
+    let mut told = with_door(config(registry.address));
+    told["limits"]["sockets"] = json!(128);
+    let old = Node::started_in(&folder, &told).wait_listening();
+    old.wait_ready();
+    let told = beside(&told, &old);
+    let new = Node::started_in(&folder, &told).wait_listening();
+    until("the new process says yes", || get(door(&new), "/ready").0 == 200);
+    let (over, address) = (std::sync::atomic::AtomicBool::new(false), old.address);
+    let mut most = 0;
+    std::thread::scope(|scope| {
+        for client in 0..120 {
+            let over = &over;
+            scope.spawn(move || {
+                let mut number = 0;
+                while !over.load(std::sync::atomic::Ordering::SeqCst) {
+                    number += 1;
+                    let Ok(mut stream) = TcpStream::connect(address) else { continue };
+                    let _ = stream.set_read_timeout(Some(Duration::from_secs(2)));
+                    let words = request("look", &format!("t{client}-{number}"), 2000);
+                    let _ = stream.write_all(words.as_bytes());
+                    let _ = stream.read(&mut [0; 256]);
+                }
+            });
+        }
+        for _ in 0..100 {
+            most = most.max(old.descriptors() + new.descriptors());
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        over.store(true, std::sync::atomic::Ordering::SeqCst);
+    });
+    assert!(most <= 128, "{most} of 128");
+    assert!(most > 80, "{most}: both were used");
+    let _ = std::fs::remove_dir_all(folder);
+}
--- a/crates/node/tests/peers/mod.rs
+++ b/crates/node/tests/peers/mod.rs
@@ -337,7 +337,8 @@
             shell
         }
     };
-    for name in ["NAME", "LISTEN", "DISCOVERY"] {
+    command.env_remove("TMPDIR");
+    for name in ["NAME", "LISTEN", "DISCOVERY", "MGMT"] {
         command.env_remove(format!("BALANCER_{name}"));
     }
     command.env("BALANCER_CONFIG", &file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
@@ -371,6 +372,25 @@
         node
     }
 
+    /// Starts a node that has a folder in common with others, and may not listen yet.
+    pub fn started_in(folder: &std::path::Path, config: &Value) -> Self {
+        let (mut command, file) = command(config, None);
+        command.env("TMPDIR", folder);
+        Self::spawned((command, file))
+    }
+
+    /// Waits until it listens.
+    pub fn wait_listening(mut self) -> Self {
+        self.address = self.wait_said(" listens at ").parse().expect("an address");
+        self
+    }
+
+    /// Ends it at once.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("it runs");
+        let _ = self.child.wait();
+    }
+
     /// Starts a node that may not listen yet.
     pub fn started(config: &Value) -> Self {
         Self::spawned(command(config, None))
--- a/crates/operation/src/lib.rs
+++ b/crates/operation/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod budget;
 pub mod figures;
 pub mod places;
+pub mod upgrade;
--- a/crates/policy/tests/settings.rs
+++ b/crates/policy/tests/settings.rs
@@ -80,3 +80,14 @@
     }
     assert!(node.serve(3, 5.0).is_some());
 }
+
+#[test]
+fn what_can_be_sent_once_is_sent_once() {
+    for outcome in [Outcome::Full, Outcome::Error] {
+        let mut node = Node::fleet(settings(), 3);
+        let (id, _) = node.ask(SAFE);
+        node.event(Event::Spent(id));
+        let actions = node.end(id, outcome);
+        assert!(sent_to(&actions).is_none() && refused(&actions, id), "{outcome:?}: {actions:?}");
+    }
+}
