Sharper tests of upgrades, new settings and long bodies; the take-over test has one backlog

Seen: a_second_process_takes_over_without_a_request_lost failed once in five runs: without a common folder the old process resets what the kernel has dealt to its listener as that closes, which is what handing sockets on mends.

--- a/crates/node/tests/large.rs
+++ b/crates/node/tests/large.rs
@@ -155,8 +155,8 @@
         _ => Say::This(answer(200, "", "short")),
     });
     let (node, _registry) = ready(&[&peer]);
-    // More than the one server may have out of this node at a time.
-    for n in 0..20 {
+    // More than the one server may have out of this node at a time, also of those that are out for long.
+    for n in 0..40 {
         let mut stream = TcpStream::connect(node.address).expect("the node listens");
         let words = request("look", &format!("a{n}"), 10_000).replace("X-Txn", "X-Org: long\r\nX-Txn");
         stream.write_all(words.as_bytes()).expect("the node reads");
@@ -296,6 +296,10 @@
     let registry = Registry::new(&[host("s0", peer.address, "active", 0)]);
     let mut told = config(registry.address);
     told["limits"]["memory_mb"] = serde_json::json!(8);
+    // Less than a slow body takes.
+    for class in told["settings"]["Classes"].as_array_mut().expect("a list") {
+        (class["Slo"], class["LateValue"]) = (serde_json::json!(1000.0), serde_json::json!(0.0));
+    }
     (Node::ready(&told), registry)
 }
 
@@ -307,20 +311,20 @@
 fn a_body_too_long_to_be_kept_goes_on_while_it_comes() {
     let peer = Peer::new(|m| Say::This(answer(200, "", &m.body.len().to_string())));
     let (node, _registry) = ready_small(&peer);
-    let long = String::from_utf8(body(5_000_000).iter().map(|b| b'a' + b % 26).collect()).expect("text");
-    let whole = post("a", 10_000, "Content-Length: 5000000") + &long;
-    let chunks = format!("{}4c4b40\r\n{long}\r\n0\r\n\r\n", post("b", 10_000, "Transfer-Encoding: chunked"));
+    let long = String::from_utf8(body(20_000_000).iter().map(|b| b'a' + b % 26).collect()).expect("text");
+    let whole = post("a", 10_000, "Content-Length: 20000000") + &long;
+    let chunks = format!("{}1312d00\r\n{long}\r\n0\r\n\r\n", post("b", 10_000, "Transfer-Encoding: chunked"));
     for words in [whole, chunks] {
-        assert_eq!(Client::to(&node).ask(&words).body, b"5000000");
+        assert_eq!(Client::to(&node).ask(&words).body, b"20000000");
     }
     let seen = peer.seen();
     assert!(seen.len() == 2 && seen.iter().all(|m| m.body == long.as_bytes()), "each once, unchanged");
-    assert!(node.peak_memory() < 30 << 20, "{} bytes, in a build for tests", node.peak_memory());
+    assert!(node.peak_memory() < 24 << 20, "{} bytes, in a build for tests", node.peak_memory());
 }
 
 #[test]
-fn one_that_goes_on_while_it_comes_has_its_time_from_its_last_byte_and_is_sent_once() {
-    let peer = Peer::new(|_| Say::This(answer(500, "", "")));
+fn one_that_goes_on_while_it_comes_has_its_time_from_its_last_byte() {
+    let peer = Peer::new(|_| Say::Later(Duration::from_millis(200), answer(200, "", "")));
     let (node, _registry) = ready_small(&peer);
     let mut client = Client::to(&node);
     client.send(&(post("a", 1000, "Content-Length: 2100000") + &"x".repeat(2_000_000)));
@@ -330,7 +334,7 @@
         client.send(&"x".repeat(5000));
     }
     assert!(began.elapsed() > Duration::from_millis(1900), "longer than the time that is left");
-    assert_eq!(client.hear().map(|m| m.status()), Some(502));
+    assert_eq!(client.hear().map(|m| m.status()), Some(200));
     assert_eq!(peer.seen().len(), 1);
 }
 
--- a/crates/node/tests/operation.rs
+++ b/crates/node/tests/operation.rs
@@ -213,7 +213,11 @@
     told["settings"]["Classes"][0]["Deadline"] = json!(1500.0);
     told["settings"]["Classes"][1]["Deadline"] = json!(1500.0);
     told["settings"]["Classes"][2]["Deadline"] = json!(1500.0);
-    let mut old = Node::ready(&told);
+    // With a backlog of its own the old one resets what is dealt to it as it closes: they have one.
+    let folder = folder("takes-over");
+    let mut old = Node::started_in(&folder, &told).wait_listening();
+    old.wait_ready();
+    old.wait_said("can hand its listening sockets on");
     told["listen"] = json!(old.address.to_string());
     let asked = std::sync::atomic::AtomicUsize::new(0);
     let over = std::sync::atomic::AtomicBool::new(false);
@@ -227,7 +231,7 @@
     }
     std::thread::scope(|scope| {
         let at = old.address;
-        for client in 0..3 {
+        for client in 0..8 {
             scope.spawn(move || {
                 let mut kept: Option<Client> = None;
                 while !over.load(std::sync::atomic::Ordering::SeqCst) {
@@ -245,7 +249,7 @@
         let _over = Over(over);
         let count = || asked.load(std::sync::atomic::Ordering::SeqCst);
         for _ in 0..2 {
-            let new = Node::listening(&told, None);
+            let new = Node::started_in(&folder, &told).wait_listening();
             let door = door(&new);
             until("the new process says yes", || get(door, "/ready").0 == 200);
             let before = count();
@@ -256,6 +260,7 @@
         }
     });
     assert_eq!(peer.seen().len(), count_of(asked), "each was carried out once");
+    let _ = std::fs::remove_dir_all(folder);
 }
 
 fn count_of(asked: &std::sync::atomic::AtomicUsize) -> usize {
@@ -347,7 +352,10 @@
             // The end of the other side says the same.
             let _ = wait.lock().expect("no panic").recv();
         }
-        Say::This(answer(200, "", "served"))
+        match message.header("x-org") {
+            Some("fail") => Say::This(answer(500, "", "")),
+            _ => Say::This(answer(200, "", "served")),
+        }
     });
     let registry = one_server(&peer);
     let told = with_door(config(registry.address));
@@ -359,6 +367,10 @@
     let mut half = Client::to(&node);
     let whole = request("pay", "b", 20_000);
     half.send(&whole[..whole.len() - 4]);
+    // And half of one that must not run twice, and will fail.
+    let mut unsafe_half = Client::to(&node);
+    let unsafe_whole = request("slip", "u", 20_000).replace("X-Txn", "X-Org: fail\r\nX-Txn");
+    unsafe_half.send(&unsafe_whole[..unsafe_whole.len() - 4]);
     until("the first is at its server", || peer.seen().len() == 1);
     node.reload(
         &with_classes(&told, &[("other", "pure"), ("another", "pure"), ("look", "pure")]).to_string(),
@@ -367,7 +379,15 @@
     half.send("work");
     assert_eq!(half.hear().map(|m| m.status()), Some(200));
     assert_eq!(Client::to(&node).ask(&request("look", "c", 5000).replace("look", "other")).status(), 200);
-    go.send(()).expect("the server waits");
+    unsafe_half.send("work");
+    // Both of its class wait there.
+    (0..2).for_each(|_| go.send(()).expect("the server waits"));
+    assert_eq!(
+        unsafe_half.hear().map(|m| m.status()),
+        Some(502),
+        "never again, though the classes now are all safe"
+    );
+    assert_eq!(peer.seen().iter().filter(|m| m.header("x-txn") == Some("u")).count(), 1);
     assert_eq!(under_way.hear().map(|m| (m.status(), m.body)), Some((200, b"served".to_vec())));
     assert_eq!((transactions(door, "slip", "answered"), transactions(door, "pay", "answered")), (1, 1));
     assert_eq!(transactions(door, "other", "answered"), 1);
--- a/crates/policy/tests/settings.rs
+++ b/crates/policy/tests/settings.rs
@@ -49,7 +49,8 @@
 #[test]
 fn the_rotation_goes_on_where_it_was() {
     let turns = |reload: bool| {
-        let mut node = Node::fleet(settings(), 5);
+        // Of unequal sizes, so that turns that begin anew come in another order.
+        let mut node = Node::new(settings(), (0..5).map(|id| entry(id, 1.0 + id as f64)).collect());
         (0..40)
             .map(|n| {
                 if reload && n % 3 == 0 {
