--- a/crates/node/tests/large.rs
+++ b/crates/node/tests/large.rs
@@ -150,8 +150,9 @@
 
 #[test]
 fn a_client_that_leaves_in_the_middle_frees_its_server() {
-    let peer = Peer::new(|message: &Message| match message.header("x-org") {
-        Some("long") => Say::This(with_length(30_000_000)),
+    let long = with_length(30_000_000);
+    let peer = Peer::new(move |message: &Message| match message.header("x-org") {
+        Some("long") => Say::This(long.clone()),
         _ => Say::This(answer(200, "", "short")),
     });
     let (node, _registry) = ready(&[&peer]);
@@ -324,7 +325,7 @@
 
 #[test]
 fn one_that_goes_on_while_it_comes_has_its_time_from_its_last_byte() {
-    let peer = Peer::new(|_| Say::Later(Duration::from_millis(200), answer(200, "", "")));
+    let peer = Peer::new(|_| Say::Later(Duration::from_millis(700), answer(200, "", "")));
     let (node, _registry) = ready_small(&peer);
     let mut client = Client::to(&node);
     client.send(&(post("a", 1000, "Content-Length: 2100000") + &"x".repeat(2_000_000)));
