--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -349,3 +349,42 @@
         prop_assert_eq!((core.open(), core.awaiting(), answers(outputs(&mut core)).len()), (0, 0, 0));
     }
 }
+
+#[test]
+fn an_answer_that_flows_is_given_at_once_and_holds_its_place_until_it_has_flowed() {
+    let mut core = core(1, 100);
+    let (mut now, mut flowing) = (0.0, Vec::new());
+    // As many as the one server may have at a time. Its first bytes are slow: quick ones would raise its limit as fast.
+    loop {
+        let id = format!("t{}", flowing.len());
+        assert!(core.take(now, incoming(0, &id, now, 500.0)).is_ok());
+        let Some(attempt) = started(&outputs(&mut core)).first().copied() else { break };
+        now += 60.0;
+        core.attempt_ended(now, attempt, Ended::Flows("begins"));
+        assert_eq!(answers(outputs(&mut core)), [Final::Served("begins")]);
+        flowing.push(attempt);
+        assert!(flowing.len() < 50, "its place is held");
+    }
+    assert_eq!((core.awaiting(), core.open()), (1, flowing.len() + 1));
+    // One that has flowed makes room for the one that waits.
+    core.attempt_left(now, flowing[0]);
+    assert_eq!(started(&outputs(&mut core)).len(), 1);
+    assert_eq!(core.open(), flowing.len());
+}
+
+#[test]
+fn the_time_of_one_whose_body_is_coming_counts_from_its_last_byte() {
+    let mut core = core(1, 10);
+    let late = Incoming { coming: true, ..incoming(0, "a", 1.0, 500.0) };
+    let request = core.take(1.0, late).expect("room");
+    let attempt = started(&outputs(&mut core))[0];
+    core.handle_timeout(5_000.0);
+    assert!(answers(outputs(&mut core)).is_empty(), "nothing is due before its last byte");
+    core.body_sent(5_000.0, request);
+    core.handle_timeout(5_400.0);
+    assert!(answers(outputs(&mut core)).is_empty());
+    core.handle_timeout(5_500.0);
+    assert_eq!(answers(outputs(&mut core)), [Final::Overdue]);
+    core.attempt_ended(5_600.0, attempt, Ended::Without(Outcome::TimedOut));
+    assert_eq!(core.open(), 0);
+}
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -130,8 +130,6 @@
     phase: Cell<Phase>,
     /// When the phase began.
     since: Cell<Instant>,
-    /// When the request that is being read or served began to come.
-    began: Cell<Instant>,
     /// By when a request that is coming must be whole.
     due: Cell<Instant>,
     /// A client's connection.
@@ -183,7 +181,6 @@
             when_whole: Cell::default(),
             phase: Cell::new(Phase::Idle),
             since: Cell::new(now),
-            began: Cell::new(now),
             due: Cell::new(now + REQUEST_WITHIN),
             serves: Cell::new(serves),
             spoke: Cell::new(false),
@@ -320,16 +317,6 @@
         });
     }
 
-    /// When the present request began to come. One that came right behind another was read with it; its time
-    /// counts from now.
-    pub fn arrived(&self) -> Instant {
-        if self.phase.get() == Phase::Reading {
-            self.began.get()
-        } else {
-            Instant::now()
-        }
-    }
-
     /// Nothing to read, and not closed by the other side. Asks the kernel, as what the runtime knows may be
     /// a turn of its loop old.
     pub fn quiet(&self) -> bool {
@@ -450,7 +437,6 @@
         self.came.set(0);
         self.body.set(None);
         self.uptake.take();
-        self.began.set(self.since.get());
         if later {
             self.due.set(self.since.get() + REQUEST_WITHIN);
         }
--- a/crates/node/src/upgrade.rs
+++ b/crates/node/src/upgrade.rs
@@ -7,6 +7,7 @@
 use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::{AsFd, OwnedFd};
+use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -95,7 +96,12 @@
     /// Answers there from now on, in place of a process before; `None` where that can't be.
     pub fn open(place: PathBuf, sockets: Vec<OwnedFd>) -> Option<(Rc<Self>, UnixListener)> {
         let _ = std::fs::remove_file(&place);
-        match UnixListener::bind(&place) {
+        // Whoever may connect is given the clients' sockets: the place is its owner's alone, like the folder.
+        let own = |listener| {
+            std::fs::set_permissions(&place, std::fs::Permissions::from_mode(0o600))?;
+            Ok::<_, std::io::Error>(listener)
+        };
+        match UnixListener::bind(&place).and_then(own) {
             Ok(listener) => Some((
                 Rc::new(Self { stage: Cell::default(), place, sockets: RefCell::new(sockets) }),
                 listener,
