--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -25,6 +25,12 @@
 const RETRY_BUDGET_SHARE: f64 = 0.1;
 /// The retry budget that may be saved up, in attempts.
 const RETRY_BUDGET_MAX: f64 = 10.0;
+/// After how many times its usual time a second copy is sent, and how many copies each answer allows that got
+/// lost, or came first from a copy: where none get lost none are sent, as long work is as long elsewhere.
+const COPY_AFTER: f64 = 2.0;
+const COPIES: f64 = 2.0;
+/// What each other end takes away: where fewer than one in a hundred got lost, no copies are sent.
+const COPIES_FADE: f64 = 0.02;
 
 /// Nodes that share one server where there are many: enough that their uneven traffic evens out, few enough
 /// for its connections, and for each to see the server often.
@@ -130,6 +136,8 @@
     /// For each kind of machine, the usual time of each class on a server that has nothing else of ours.
     times: BTreeMap<u64, Vec<Millis>>,
     retry_budget: f64,
+    /// Second copies that what got lost allows.
+    copies: f64,
     /// When the timer comes that was asked for last.
     timer_due: Millis,
     /// When what time brings was last looked at.
@@ -199,6 +207,7 @@
     Answer,
 }
 
+#[derive(Clone, Copy)]
 struct Attempt {
     server: ServerId,
     zone: u64,
@@ -232,17 +241,12 @@
 }
 
 /// Worth asked for and served.
+#[derive(Default)]
 struct Served {
     asked: Rate,
     served: Rate,
 }
 
-impl Served {
-    fn new() -> Self {
-        Self { asked: Rate::new(), served: Rate::new() }
-    }
-}
-
 /// The state of the calls to discovery.
 #[derive(PartialEq)]
 enum Call {
@@ -254,8 +258,7 @@
     AskAt(Millis, u32),
 }
 
-/// Does this tell that the process is down? A refusal is quick then; where the way is cut it takes the whole
-/// time.
+/// Does this tell that the process is down? A refusal is quick; where the way is cut it takes all the time.
 fn is_down(outcome: Outcome, took: Millis, limits: &Limits) -> bool {
     outcome == Outcome::ConnectFailed && took < 0.9 * limits.connect_timeout
 }
@@ -294,9 +297,8 @@
     fn may_repeat(&self, limits: &Limits, now: Millis, to: Option<&Entry>) -> bool {
         let mut ran = self.attempts.iter().filter(|a| !a.outcome.is_some_and(Outcome::never_ran));
         if to.is_some() {
-            let pending = self.attempts.iter().any(|a| a.outcome.is_none());
             let bound = self.bound != Bound::Free || self.attempts.len() >= limits.attempts;
-            if bound || (pending && !limits.second_copies) {
+            if bound || (self.pending() && !limits.second_copies) {
                 return false;
             }
         }
@@ -320,6 +322,12 @@
     fn pending(&self) -> bool {
         self.attempts.iter().any(|a| a.outcome.is_none())
     }
+
+    /// Calls off what is out but for `one`, where that may be done.
+    fn cancel_all(&self, id: RequestId, one: Option<usize>, limits: &Limits, actions: &mut Vec<Action>) {
+        let out = |n: &usize| limits.cancel && Some(*n) != one && self.attempts[*n].outcome.is_none();
+        actions.extend((0..self.attempts.len()).filter(out).map(|attempt| Action::Cancel { id, attempt }));
+    }
 }
 
 impl Balancer {
@@ -334,8 +342,8 @@
             Discovery::Asked => Call::AskAt(f64::NEG_INFINITY, 0),
         };
         let classes = settings.classes.iter().map(ClassStats::new).collect();
-        let class_served = settings.classes.iter().map(|_| Served::new()).collect();
-        let tenant_served = settings.tenants.iter().map(|_| Served::new()).collect();
+        let class_served = settings.classes.iter().map(|_| Served::default()).collect();
+        let tenant_served = settings.tenants.iter().map(|_| Served::default()).collect();
         let quotas = settings.tenants.iter().map(|_| (0.0, f64::NEG_INFINITY)).collect();
         Ok(Self {
             set: settings,
@@ -358,10 +366,11 @@
             class_served,
             tenant_served,
             quotas,
-            pace: Rate::new(),
-            arrivals: Rate::new(),
+            pace: Rate::default(),
+            arrivals: Rate::default(),
             times: BTreeMap::new(),
             retry_budget: RETRY_BUDGET_MAX,
+            copies: 0.0,
             timer_due: f64::INFINITY,
             swept: f64::NEG_INFINITY,
             call,
@@ -421,8 +430,8 @@
     fn on_settings(&mut self, settings: Settings, classes: &[bool], tenants: &[bool]) {
         self.set = settings;
         renew(&mut self.classes, classes, |n| ClassStats::new(&self.set.classes[n]));
-        renew(&mut self.class_served, classes, |_| Served::new());
-        renew(&mut self.tenant_served, tenants, |_| Served::new());
+        renew(&mut self.class_served, classes, |_| Served::default());
+        renew(&mut self.tenant_served, tenants, |_| Served::default());
         renew(&mut self.quotas, tenants, |_| (0.0, f64::NEG_INFINITY));
         self.times.values_mut().for_each(|times| renew(times, classes, |_| 0.0));
         // There may be another count of nodes: the order of the servers is made anew.
@@ -448,7 +457,8 @@
             Call::AskAt(at, _) => at.max(0.0),
             Call::Asked(at, _) => at + self.set.rules.ask_within,
         };
-        let held = if self.waiting.is_empty() { f64::INFINITY } else { self.swept + self.period() };
+        let looks = !self.waiting.is_empty() || (self.copies >= 1.0 && !self.requests.is_empty());
+        let held = if looks { self.swept + self.period() } else { f64::INFINITY };
         let mut due = call.min(held);
         for server in self.rotated() {
             if let (Some(at), false) = (server.ejected, server.probing) {
@@ -466,8 +476,7 @@
         self.set.rules.warm_within / WARMTH_STEPS
     }
 
-    /// How often requests that wait are looked at: far below every aim, and
-    /// often enough that an answer at the deadline comes within its slack.
+    /// How often requests that wait are looked at: far below every aim, and within the slack of a deadline.
     fn period(&self) -> Millis {
         let aim = self.set.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
         (aim / 20.0).max(self.set.tick).max(1.0)
@@ -599,9 +608,8 @@
     }
 
     /// The order in which this node prefers the sorted `members`. All nodes fill the same table (as Maglev
-    /// does: each server in turn takes its next free place by an order of its own), so that each server has
-    /// as many places as any other and keeps most of them when the list changes. Each node reads the table
-    /// from a place of its own; first parts of the orders are thus an even cover of the fleet.
+    /// does: each server in turn takes its next free place by its own order): all servers have as many places
+    /// and keep most when the list changes. Each node reads from its own place: an even cover of the fleet.
     fn preference(&self, members: &[ServerId]) -> Vec<ServerId> {
         if self.subset_size(members.len()) == members.len() {
             return members.to_vec();
@@ -619,24 +627,16 @@
     fn choose_subset(&mut self) {
         let wanted = self.subset_size(self.order.len()) as f64;
         let (mut warm, mut subset) = (0.0, Vec::new());
-        for id in &self.order {
+        for server in self.order.iter().filter_map(|id| self.servers.get(id)) {
             if warm >= wanted {
                 break;
             }
-            if let Some(server) = self.servers.get(id) {
-                if server.ejected.is_none() {
-                    warm += server.warmth(self.now, &self.set.rules);
-                }
-                subset.push(*id);
-            }
+            warm += if server.ejected.is_none() { server.warmth(self.now, &self.set.rules) } else { 0.0 };
+            subset.push(server.entry.server);
         }
         subset.sort_unstable();
-        for id in &self.subset {
-            if subset.binary_search(id).is_err() {
-                if let Some(server) = self.servers.get_mut(id) {
-                    server.turn = f64::NAN;
-                }
-            }
+        for id in self.subset.iter().filter(|id| subset.binary_search(id).is_err()) {
+            self.servers.get_mut(id).into_iter().for_each(|s| s.turn = f64::NAN);
         }
         (self.subset, self.chosen) = (subset, self.now);
         self.place_newcomers();
@@ -671,8 +671,7 @@
         }
     }
 
-    /// Takes turns until one falls to a server that `ready` lets through; the others are passed over in
-    /// place.
+    /// Takes turns until one falls to a server that `ready` lets through; others are passed over in place.
     fn next_turn(&mut self, ready: impl Fn(&Self, &Server) -> bool) -> Option<ServerId> {
         if !self.rotated().any(|s| ready(self, s)) {
             return None;
@@ -706,9 +705,8 @@
 
     /// A server full with our own attempts is passed over: on turns alone a slow one keeps its full turn
     /// while its queue grows until nothing that it is sent comes in time. What has been out for long takes no
-    /// place, up to a bound: on connections that went dead a few attempts would else keep an idle server full
-    /// until their deadlines. It guards as well against single requests of enormous work; it could overload a
-    /// server that is this slow with everything, whose limit falls with each late answer, though.
+    /// place, up to a bound: a few requests of enormous work, or whose answers got lost, would else keep an
+    /// idle server full. A server this slow with everything has a limit that falls with each late answer.
     fn has_room(&self, server: &Server) -> bool {
         let limit = server.allowed(self.fleet, self.least_limit());
         if limit >= 1.0 {
@@ -729,9 +727,8 @@
 
     /// Rule 4: what all nodes send to a cold server in one window must stay below a multiple of what it can
     /// do by now. What a warm server of its size is seen to answer is the measure, and each node spaces its
-    /// sends by its own traffic's part: a least of one send a window for each node would by the number of
-    /// nodes alone be more than a cold server can take. Before the first send a random part of the space is
-    /// waited, or all nodes would send at once when they hear of it.
+    /// sends by its own traffic's part, without a least: by the number of nodes alone it would be too much.
+    /// A random part of the space is waited first, or all would send at once when they hear of the server.
     fn within_slow_start(&self, server: &Server) -> bool {
         let rules = &self.set.rules;
         let warmth = server.warmth(self.now, rules);
@@ -761,9 +758,8 @@
         self.choose_subset();
     }
 
-    /// Ejects a server whose process may be down until a probe has told, which is sent at once: connections
-    /// that break one by one must not cost a good server a second of its turns and then a cold start. A way
-    /// that is cut has told enough.
+    /// Ejects a server whose process may be down until a probe, sent at once, has told: connections that end
+    /// must not cost a good server a second of its turns and a cold start. A way that is cut has told enough.
     fn suspect(&mut self, id: ServerId, outcome: Outcome, took: Millis) {
         let limits = &self.set.limits;
         let refused = is_down(outcome, took, limits);
@@ -842,8 +838,7 @@
     fn on_request(&mut self, event: Event, actions: &mut Vec<Action>) {
         let Event::Request { id, class, tenant, deadline, alike, work } = event else { return };
         if self.requests.contains_key(&id) {
-            // An id never comes twice. To answer the repeat would be to answer the first, which is still
-            // owed, and to send for it afterwards.
+            // An id never comes twice: to answer the repeat would answer the first, which is still owed.
             return;
         }
         let Some(effect) = self.set.classes.get(class).map(|c| c.effect) else {
@@ -855,23 +850,21 @@
         let size: f64 = self.rotated().map(|s| s.size * s.warmth(self.now, &self.set.rules)).sum();
         self.arrivals.add(self.now, self.set.rules.fall_window, 1.0 / size.max(1.0));
         let tenant = tenant.filter(|t| *t < self.set.tenants.len());
-        // A client that comes back asks for the same thing: it is served by the time of its first asking or
-        // not at all, and counts once in its tenant's share and in what was asked for. Where more is
-        // refused than served, to take repeats for new ones spends most of the work on what is too late.
+        // A client that comes back is served by the time of its first asking or not at all, and counts once:
+        // else, where more is refused than served, most work would be spent on what is too late.
         let first = alike.and_then(|alike| self.unserved.take(self.now, alike));
         let in_share = match &first {
             Some(first) => first.in_share,
             None => tenant.is_none_or(|t| self.take_quota(t)),
         };
-        let (attempts, came) = (Vec::new(), self.now);
+        let (attempts, came, bound) = (Vec::new(), self.now, Bound::Free);
         let asked = (came - self.age(class, deadline)).min(first.as_ref().map_or(came, |u| u.asked));
-        let bound = Bound::Free;
         let request =
             Request { class, effect, tenant, in_share, alike, work, asked, came, deadline, attempts, bound };
+        self.requests.insert(id, request);
         if first.is_none() {
-            self.tally(&request, |care| &mut care.asked);
+            self.tally(id, |care| &mut care.asked);
         }
-        self.requests.insert(id, request);
         self.waiting.push(id);
         self.serve_waiting(actions);
     }
@@ -900,10 +893,9 @@
         }
     }
 
-    /// How long ago the client first asked. A client that comes back after a refusal still gives up when the
-    /// time of its first asking ends: to take its request for a new one would spend work on what can no
-    /// longer be in time. The most time that a class's requests ever had left is that of new ones. Where
-    /// clients may repeat what they have given up, the deadline is that of the try and tells nothing.
+    /// How long ago the client first asked: one that comes back after a refusal still gives up when the time
+    /// of its first asking ends. The most time that a class's requests ever had left is that of new ones.
+    /// Where clients may repeat what they have given up, the deadline is that of the try and tells nothing.
     fn age(&mut self, class: usize, deadline: Millis) -> Millis {
         let left = deadline - self.now;
         let most = &mut self.classes[class].most_left;
@@ -931,7 +923,8 @@
         self.set.classes[request.class].worth * share * request.work
     }
 
-    fn tally(&mut self, request: &Request, of: impl Fn(&mut Served) -> &mut Rate) {
+    fn tally(&mut self, id: RequestId, of: impl Fn(&mut Served) -> &mut Rate) {
+        let Some(request) = self.requests.get(&id) else { return };
         let (now, worth) = (self.now, self.worth(request));
         of(&mut self.class_served[request.class]).add(now, MEMORY, worth);
         if let (Some(tenant), true) = (request.tenant, request.in_share) {
@@ -992,11 +985,7 @@
     fn on_streaming(&mut self, id: RequestId, attempt: usize, actions: &mut Vec<Action>) {
         if let Some(request) = self.requests.get_mut(&id) {
             request.bound = Bound::Answer;
-            for (n, a) in request.attempts.iter().enumerate() {
-                if n != attempt && a.outcome.is_none() && self.set.limits.cancel {
-                    actions.push(Action::Cancel { id, attempt: n });
-                }
-            }
+            request.cancel_all(id, Some(attempt), &self.set.limits, actions);
         }
     }
 
@@ -1021,15 +1010,20 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(ended) = request.attempts.get_mut(attempt).filter(|a| a.outcome.is_none()) else { return };
         ended.outcome = Some(outcome);
-        let (class, at_limit, alone) = (request.class, ended.at_limit, ended.alone);
+        let (class, ended, asked) = (request.class, *ended, request.asked);
         let open = request.pending() || request.bound == Bound::Answer;
-        self.learn(server, class, outcome, took, at_limit, alone);
+        let done = outcome == Outcome::Done;
+        let overtaken = request.attempts.iter().find(|a| done && a.outcome.is_none()).copied();
+        let lost = self.set.limits.second_copies && (overtaken.is_some() || outcome == Outcome::Unheard);
+        let gain = if lost { COPIES } else { -COPIES_FADE };
+        self.copies = (self.copies + gain).clamp(0.0, RETRY_BUDGET_MAX);
+        self.learn(class, ended, outcome, took);
+        // Called off with its request, it would tell nothing of a server that hangs.
+        let slow = |a: Attempt| self.detect_outlier(a.server, Outcome::TimedOut, now - a.sent);
+        overtaken.into_iter().for_each(slow);
         if finished {
-            if let Some(request) = self.requests.remove(&id) {
-                if now - request.asked <= self.set.classes[class].aim {
-                    self.tally(&request, |care| &mut care.served);
-                }
-                self.requests.insert(id, request);
+            if now - asked <= self.set.classes[class].aim {
+                self.tally(id, |care| &mut care.served);
             }
             self.forget(id, actions);
         } else if !open {
@@ -1039,20 +1033,15 @@
     }
 
     /// What the end of an attempt says of its server's pace, for the limit, the share and the usual times.
-    fn learn(
-        &mut self,
-        id: ServerId,
-        class: usize,
-        outcome: Outcome,
-        took: Millis,
-        at_limit: bool,
-        alone: bool,
-    ) {
+    fn learn(&mut self, class: usize, attempt: Attempt, outcome: Outcome, took: Millis) {
+        let Attempt { server: id, at_limit, alone, .. } = attempt;
         let (now, rules, done) = (self.now, &self.set.rules, outcome == Outcome::Done);
         let (first, least_limit) = (self.first_limit(), self.least_limit());
         let late = self.set.classes[class].late_worth > 0.0;
         let part = match outcome {
             Outcome::Done => (took / self.set.classes[class].aim).min(LATE),
+            // Where answers get lost, one that does not come says nothing of its server's pace.
+            Outcome::TimedOut if self.copies >= 1.0 => return,
             // Cut off when it was of no more use. One that had little time says little, and nothing good.
             Outcome::TimedOut if !late => {
                 let part = CUT * (took / self.set.classes[class].aim).min(1.0).powi(2);
@@ -1142,12 +1131,8 @@
 
     /// Drops a request that is over; attempts that are still out are of no use any more.
     fn forget(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        if let Some(request) = self.requests.remove(&id) {
-            for (attempt, a) in request.attempts.iter().enumerate() {
-                if a.outcome.is_none() && self.set.limits.cancel && request.bound != Bound::Answer {
-                    actions.push(Action::Cancel { id, attempt });
-                }
-            }
+        if let Some(request) = self.requests.remove(&id).filter(|r| r.bound != Bound::Answer) {
+            request.cancel_all(id, None, &self.set.limits, actions);
         }
     }
 
@@ -1213,6 +1198,22 @@
         gains.into_iter().map(|gain| gain < LESSER * best).collect()
     }
 
+    /// Sends second copies of what has long been out, where answers get lost: waited out to the end of its
+    /// use, a lost one leaves no time for another attempt.
+    fn send_copies(&mut self, actions: &mut Vec<Action>) {
+        let slow = |r: &Request| {
+            let (usual, end) = (self.classes[r.class].mean, self.useful_until(r) - self.now);
+            let out = r.pending() && r.attempts.len() == 1 && end > usual;
+            out && self.now - r.attempts[0].sent >= COPY_AFTER * usual
+        };
+        let slow: Vec<RequestId> = self.requests.iter().filter(|(_, r)| slow(r)).map(|(id, _)| *id).collect();
+        for id in slow.into_iter().take(self.copies as usize) {
+            let Some(server) = self.next_turn(|b, s| b.ready(s) && b.may_go(id, s)) else { continue };
+            self.copies -= 1.0;
+            self.send(id, server, actions);
+        }
+    }
+
     /// How many more could be sent now.
     fn places(&self) -> usize {
         let least = self.least_limit();
@@ -1280,5 +1281,6 @@
             self.choose_subset();
         }
         self.serve_waiting(actions);
+        self.send_copies(actions);
     }
 }
--- a/crates/policy/src/rate.rs
+++ b/crates/policy/src/rate.rs
@@ -2,7 +2,8 @@
 
 use crate::api::Millis;
 
-/// A rate that forgets.
+/// A rate that forgets; nothing yet.
+#[derive(Default)]
 pub struct Rate {
     /// What came a second, as of `at`.
     pub per_s: f64,
@@ -10,11 +11,6 @@
 }
 
 impl Rate {
-    /// Nothing yet.
-    pub fn new() -> Self {
-        Self { per_s: 0.0, at: 0.0 }
-    }
-
     /// Adds an amount; what came longer ago than `span` counts for little.
     pub fn add(&mut self, now: Millis, span: Millis, amount: f64) {
         self.per_s = self.at(now, span) + amount * 1000.0 / span.max(1.0);
--- a/crates/policy/tests/properties.rs
+++ b/crates/policy/tests/properties.rs
@@ -27,6 +27,7 @@
         1 => Just(Outcome::Error),
         2 => Just(Outcome::Full),
         1 => Just(Outcome::TimedOut),
+        1 => Just(Outcome::Unheard),
         2 => Just(Outcome::ConnectFailed),
         1 => Just(Outcome::Reset),
     ];
