Two processes divide one node's memory; the tests of upgrades that were missing

Change: who may hold a part of the descriptors bounds clients to that part of the memory, and keeps half of what bodies may take for as long as the other is there. A stopping process says so in its log. Tests: an upgrade and a drain in the middle of 32 MB both ways, SIGHUP to both processes of an upgrade and while the old one stops, the door while the thread that serves is busy with lists of 20,000 servers, memory beside another process.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -73,16 +73,24 @@
         self.parts(self.sockets).0
     }
 
-    /// How connections of clients and to servers share so many descriptors.
+    /// How connections of clients and to servers share so many descriptors. Who has a part of them has that part of the
+    /// memory too.
     pub fn parts(&self, descriptors: usize) -> (usize, usize) {
         let all = descriptors.saturating_sub(self.reserve());
-        let clients = (all / 2).min(self.memory_mb * CLIENTS_PER_MB).max(1);
+        let memory_mb = self.memory_mb * descriptors.min(self.sockets) / self.sockets.max(1);
+        let clients = (all / 2).min(memory_mb * CLIENTS_PER_MB).max(1);
         (clients, all.saturating_sub(clients).max(1))
     }
 
-    /// How many bytes bodies may take beyond what each connection is reckoned with.
-    pub fn bodies_most(&self) -> usize {
-        self.memory_mb * (1 << 20) / BODIES_PART
+    /// How many bytes bodies may take beyond what each connection is reckoned with, in a process that may hold so many
+    /// descriptors: half for as long as another has any, as what one has let in it keeps while it ends.
+    pub fn bodies_most(&self, descriptors: usize) -> usize {
+        let whole = self.memory_mb * (1 << 20) / BODIES_PART;
+        if descriptors < self.sockets {
+            whole / 2
+        } else {
+            whole
+        }
     }
 
     /// How many connections to servers there may be: the rest.
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -144,7 +144,7 @@
         let hub = Rc::new(Self {
             clock: Clock::default(),
             figures: Shared::default(),
-            bodies: Budget::new(config.bodies_most()),
+            bodies: Budget::new(config.bodies_most(config.sockets)),
             stopping: Cell::new(None),
             listening: Cell::new(false),
             leaving: Cell::new(false),
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -233,6 +233,7 @@
         let (hub, fronts, descriptors) = (hub.clone(), fronts.clone(), descriptors.clone());
         move |most: usize| {
             let (clients, servers) = hub.config.parts(most);
+            hub.bodies.bound(hub.config.bodies_most(most));
             fronts.clients.bound(clients);
             descriptors.bound(servers);
         }
@@ -273,6 +274,7 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
+    log::line(format!("{} stops: it was told to", hub.config.name));
     holder.iter().for_each(|holder| holder.stop());
     hub.leaving.set(holder.is_some_and(|holder| holder.stage() == Incumbent::Succeeded));
     stop(&hub, &fronts, &accepting).await;
--- a/crates/node/tests/large.rs
+++ b/crates/node/tests/large.rs
@@ -364,3 +364,161 @@
     let _ = writes.join();
     drop(stuck);
 }
+
+/// A folder that two processes have in common.
+fn folder(name: &str) -> std::path::PathBuf {
+    let folder = std::env::temp_dir().join(format!("glenwood-large-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+/// One whose client and whose server are in the middle of 32 MB: it has read the first of an answer, or written half of a body.
+struct Midway {
+    stream: TcpStream,
+    came: Vec<u8>,
+    owed: Vec<u8>,
+}
+
+impl Midway {
+    fn reading(at: std::net::SocketAddr, txn: &str) -> Self {
+        let mut stream = TcpStream::connect(at).expect("the node listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+        stream.write_all(request("look", txn, 15_000).as_bytes()).expect("the node reads");
+        let mut came = vec![0; 1 << 20];
+        stream.read_exact(&mut came).expect("the first of it");
+        Self { stream, came, owed: Vec::new() }
+    }
+
+    fn writing(at: std::net::SocketAddr, txn: &str) -> Self {
+        let mut stream = TcpStream::connect(at).expect("the node listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+        let all = body(32_000_000);
+        stream.write_all(post(txn, 15_000, "Content-Length: 32000000").as_bytes()).expect("the node reads");
+        stream.write_all(&all[..16_000_000]).expect("the node reads");
+        Self { stream, came: Vec::new(), owed: all[16_000_000..].to_vec() }
+    }
+
+    /// Goes on to the end; the answer.
+    fn whole(mut self) -> Option<(u16, Vec<u8>)> {
+        self.stream.write_all(&self.owed).ok()?;
+        while whole(&self.came).is_none() {
+            let mut more = [0; 1 << 16];
+            match self.stream.read(&mut more).ok()? {
+                0 => break,
+                n => self.came.extend(&more[..n]),
+            }
+        }
+        whole(&self.came)
+    }
+}
+
+/// A server of long answers that says how long the bodies are that it gets.
+fn long_both_ways() -> Peer {
+    Peer::new(|m| {
+        Say::This(match m.path().starts_with("/look") {
+            true => with_length(32_000_000),
+            false => answer(200, "", &m.body.len().to_string()),
+        })
+    })
+}
+
+#[test]
+fn an_upgrade_in_the_middle_of_32_mb_breaks_neither_way_off() {
+    let folder = folder("midway");
+    let peer = long_both_ways();
+    let registry = Registry::new(&[host("s0", peer.address, "active", 0)]);
+    let (mut old, new) = {
+        let told = config(registry.address);
+        let old = Node::started_in(&folder, &told).wait_listening();
+        old.wait_ready();
+        old.wait_said("can hand its listening sockets on");
+        let mut beside = told.clone();
+        beside["listen"] = serde_json::json!(old.address.to_string());
+        // They are the old one's, as no other is there yet.
+        let midway = (Midway::reading(old.address, "a"), Midway::writing(old.address, "b"));
+        let new = Node::started_in(&folder, &beside).wait_listening();
+        new.wait_ready();
+        old.terminate();
+        old.wait_said("stops: it was told to");
+        assert_eq!(
+            midway.0.whole().map(|(status, got)| (status, got == body(32_000_000))),
+            Some((200, true))
+        );
+        assert_eq!(midway.1.whole(), Some((200, b"32000000".to_vec())));
+        (old, new)
+    };
+    assert_eq!(old.exit_code(), Some(0));
+    assert_eq!(peer.seen().len(), 2, "each was carried out once");
+    assert!(peer.seen().iter().any(|m| m.body == body(32_000_000)), "unchanged");
+    assert_eq!(Client::to(&new).ask(&request("pay", "c", 5000)).status(), 200);
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+#[test]
+fn a_drain_in_the_middle_of_32_mb_lets_both_end_and_sends_nothing_new() {
+    let (peer, other) = (long_both_ways(), Peer::good("s1"));
+    let (up, leaves) = (host("s0", peer.address, "active", 0), host("s0", peer.address, "leaving", 0));
+    let next = host("s1", other.address, "active", 0);
+    let registry = Registry::new(&[up]);
+    let mut told = config(registry.address);
+    // So little that the body is at its server while it comes.
+    told["limits"]["memory_mb"] = serde_json::json!(8);
+    let node = Node::ready(&told);
+    let (reads, writes) = (Midway::reading(node.address, "a"), Midway::writing(node.address, "b"));
+    registry.tell(2, &[leaves.clone(), next.clone()], &[leaves, next]);
+    let mut asked = 0;
+    until("the other one is there", || {
+        asked += 1;
+        let status = Client::to(&node).ask(&request("pay", &format!("c{asked}"), 5000)).status();
+        status == 200 && !other.seen().is_empty()
+    });
+    let before = peer.seen().len();
+    for n in 0..10 {
+        assert_eq!(Client::to(&node).ask(&request("pay", &format!("d{n}"), 5000)).status(), 200);
+    }
+    assert_eq!(peer.seen().len(), before, "nothing new");
+    assert_eq!(reads.whole().map(|(status, got)| (status, got == body(32_000_000))), Some((200, true)));
+    assert_eq!(writes.whole(), Some((200, b"32000000".to_vec())));
+    assert!(peer.seen().iter().any(|m| m.body == body(32_000_000)), "unchanged");
+}
+
+#[test]
+fn beside_another_a_process_keeps_half_of_the_bodies_that_a_node_may() {
+    let folder = folder("bodies");
+    let peer = Peer::good("s0");
+    let registry = Registry::new(&[host("s0", peer.address, "active", 0)]);
+    let mut told = config(registry.address);
+    // 24 MB of bodies for a node.
+    told["limits"]["memory_mb"] = serde_json::json!(96);
+    let old = Node::started_in(&folder, &told).wait_listening();
+    old.wait_ready();
+    old.wait_said("can hand its listening sockets on");
+    // Opened before there is another to take them.
+    let open = || (0..6).map(|_| Client::at(old.address)).collect::<Vec<_>>();
+    let mut kept = open();
+    for (n, client) in kept.iter_mut().enumerate() {
+        assert_eq!(client.ask(&request("pay", &format!("a{n}"), 5000)).status(), 200);
+    }
+    told["listen"] = serde_json::json!(old.address.to_string());
+    let mut new = Node::started_in(&folder, &told).wait_listening();
+    until("they have met", || old.logged("another process has the listening sockets too"));
+    let round = |name: &str, mut clients: Vec<Client>| {
+        let base = old.peak_memory();
+        for (n, client) in clients.iter_mut().enumerate() {
+            client.send(&post(&format!("{name}{n}"), 15_000, "Content-Length: 3000000"));
+            client.send(&"x".repeat(2_999_999));
+        }
+        for client in &mut clients {
+            client.send("x");
+            assert_eq!(client.hear().map(|m| m.status()), Some(200));
+        }
+        old.peak_memory() - base
+    };
+    let beside = round("b", kept);
+    assert!((6 << 20..16 << 20).contains(&beside), "{beside} bytes of {}", 24 << 20);
+    new.kill();
+    until("it is missed", || old.logged("the other process is gone"));
+    let alone = round("c", open());
+    assert!(alone > 3 << 20, "{alone} bytes more: it is alone again");
+    let _ = std::fs::remove_dir_all(folder);
+}
--- a/crates/node/tests/operation.rs
+++ b/crates/node/tests/operation.rs
@@ -558,3 +558,101 @@
     assert!(most > 80, "{most}: both were used");
     let _ = std::fs::remove_dir_all(folder);
 }
+
+#[test]
+fn new_settings_count_in_both_processes_of_an_upgrade_and_while_the_old_one_stops() {
+    let folder = folder("sighup");
+    let (go, wait) = std::sync::mpsc::channel::<()>();
+    let wait = std::sync::Mutex::new(wait);
+    let peer = Peer::new(move |message: &Message| {
+        if message.path().starts_with("/slip") {
+            let _ = wait.lock().expect("no panic").recv();
+        }
+        Say::This(answer(200, "", "served"))
+    });
+    let registry = one_server(&peer);
+    let told = with_door(config(registry.address));
+    let mut old = Node::started_in(&folder, &told).wait_listening();
+    old.wait_ready();
+    old.wait_said("can hand its listening sockets on");
+    let (told, door_of_old) = (beside(&told, &old), door(&old));
+    // One that the old process has taken stays its own to the end.
+    let mut under_way = Client::to(&old);
+    under_way.send(&request("slip", "a", 15_000));
+    until("it is at its server", || peer.seen().len() == 1);
+    let new = Node::started_in(&folder, &told).wait_listening();
+    until("the new process says yes", || get(door(&new), "/ready").0 == 200);
+    let mut kept: Vec<Client> = (0..8).map(|_| Client::at(old.address)).collect();
+    let mut ask = |n: usize, class: &str, txn: &str| {
+        kept[n].ask(&request("look", txn, 5000).replace("/look/", &format!("/{class}/"))).status()
+    };
+    for (signal, class) in [(1, "look-next"), (2, "look-last")] {
+        let text = with_classes(&told, &[(class, "pure"), ("look", "pure")]).to_string();
+        if signal == 2 {
+            old.terminate();
+            old.wait_said("stops: it was told to");
+        }
+        for node in [&old, &new] {
+            node.reload(&text);
+            node.wait_said("reload: discovery is");
+        }
+        until("both count it", || {
+            [door_of_old, door(&new)].iter().all(|at| figure(*at, "node_conf_loaded") == signal)
+        });
+        // Eight connections over both: whoever took them knows the class. The old one says good-bye with its answers.
+        for n in 0..4 {
+            let n = n + 4 * (signal as usize - 1);
+            assert_eq!(ask(n, class, &format!("{class}{n}")), 200, "{class} {n}");
+        }
+    }
+    assert_eq!(registry.calls().len(), 2, "the list is not asked for anew");
+    go.send(()).expect("the server waits");
+    assert_eq!(under_way.hear().map(|m| m.status()), Some(200), "its class is gone, it is not");
+    assert_eq!(old.exit_code(), Some(0));
+    assert_eq!(peer.seen().len(), 9, "each was carried out once");
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+/// A list of thousands of servers, at addresses where nobody listens; each time with others that leave.
+fn long_list(seq: u64) -> String {
+    let host = |at: u64| {
+        let health = if (at + seq).is_multiple_of(2) { "active" } else { "leaving" };
+        format!(
+            "{{\"host\":\"s{at}\",\"dial\":\"127.1.{}.{}:1\",\"site\":\"a\",\"class\":\"m\",\"block\":0,\"health\":\"{health}\",\"share\":1.0,\"born_ms\":0}}",
+            at / 250,
+            at % 250
+        )
+    };
+    let hosts: Vec<String> = (0..20_000).map(host).collect();
+    format!("{{\"seq\":{seq},\"whole\":false,\"hosts\":[{}]}}", hosts.join(","))
+}
+
+#[test]
+fn the_door_answers_within_a_second_while_the_thread_that_serves_is_saturated() {
+    let peer = Peer::good("s0");
+    let registry = one_server(&peer);
+    let node = Node::ready(&with_door(config(registry.address)));
+    let door = door(&node);
+    let lists: Vec<String> = (2..14).map(long_list).collect();
+    lists.iter().for_each(|list| registry.say(list));
+    until("it is at it", || figure(door, "node_cluster_size") > 1);
+    let asked = Instant::now();
+    let served = std::thread::spawn({
+        let mut client = Client::to(&node);
+        move || {
+            client.send(&request("look", "t", 20_000));
+            client.hear().map(|_| asked.elapsed())
+        }
+    });
+    let (mut longest, mut calls) = (Duration::ZERO, 0);
+    while !served.is_finished() {
+        let began = Instant::now();
+        assert_eq!(get(door, if calls % 2 == 0 { "/metrics" } else { "/ready" }).0, 200);
+        longest = longest.max(began.elapsed());
+        calls += 1;
+    }
+    assert!(longest < Duration::from_secs(1), "{longest:?} in {calls} calls");
+    // At the same door of the same thread both would wait for the same lists.
+    let waited = served.join().expect("no panic").expect("an answer");
+    assert!(waited > 4 * longest, "{waited:?} there, {longest:?} here");
+}
--- a/crates/operation/src/budget.rs
+++ b/crates/operation/src/budget.rs
@@ -5,7 +5,7 @@
 
 #[derive(Debug)]
 struct Pot {
-    most: usize,
+    most: Cell<usize>,
     taken: Cell<usize>,
 }
 
@@ -23,7 +23,12 @@
 impl Budget {
     /// So many bytes in all.
     pub fn new(most: usize) -> Self {
-        Self(Rc::new(Pot { most, taken: Cell::new(0) }))
+        Self(Rc::new(Pot { most: Cell::new(most), taken: Cell::new(0) }))
+    }
+
+    /// So many bytes in all from now on. What is drawn beyond that stays until it comes back; nothing more is drawn meanwhile.
+    pub fn bound(&self, most: usize) {
+        self.0.most.set(most);
     }
 
     /// A share with nothing in it yet.
@@ -41,9 +46,9 @@
     /// Draws so many bytes more, or none where they are not there. One holder may have half of the budget at most, so that no
     /// single one shuts out all others.
     pub fn grow(&mut self, bytes: usize) -> bool {
-        let taken = self.pot.taken.get();
+        let (taken, most) = (self.pot.taken.get(), self.pot.most.get());
         let own = self.size.saturating_add(bytes);
-        let fits = bytes <= self.pot.most.saturating_sub(taken) && own <= self.pot.most / 2;
+        let fits = bytes <= most.saturating_sub(taken) && own <= most / 2;
         if fits {
             self.pot.taken.set(taken + bytes);
             self.size = own;
@@ -80,4 +85,17 @@
         drop((b, c));
         assert_eq!(budget.taken(), 0);
     }
+
+    #[test]
+    fn one_that_is_lowered_takes_nothing_back_and_gives_nothing_more() {
+        let budget = Budget::new(100);
+        let (mut a, mut b) = (budget.share(), budget.share());
+        assert!(a.grow(50) && b.grow(20));
+        budget.bound(60);
+        assert!(!b.grow(1) && budget.taken() == 70);
+        drop(a);
+        assert!(b.grow(10) && !b.grow(1), "half of what there is now");
+        budget.bound(100);
+        assert!(b.grow(20));
+    }
 }
