--- a/crates/node/src/usage.rs
+++ b/crates/node/src/usage.rs
@@ -1,6 +1,7 @@
 //! Tenants' usage over all nodes: the socket round the machine of `glenwood-usage`, and who asks it.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -116,17 +117,23 @@
     /// What there is to be seen of it.
     pub fn report(&self) -> Report {
         let (machine, tenants) = (self.machine.borrow(), self.tenants.borrow());
-        let name = |share: &Share| tenants.iter().find(|(_, handle)| machine.show(*handle).key == share.key);
-        let shown = |share: Share| {
-            let (name, handle) = name(&share)?;
-            Some(Shown { name: name.clone(), at: machine.explain(*handle), share })
+        let top = machine.top(SHOWN);
+        // One walk over the tenants, of whom there may be very many.
+        let mut names: BTreeMap<usize, &str> = top.iter().map(|(handle, _)| (*handle, "")).collect();
+        for (name, handle) in tenants.iter() {
+            names.entry(*handle).and_modify(|shown| *shown = name);
+        }
+        let shown = |(handle, share): (usize, Share)| Shown {
+            name: names[&handle].to_string(),
+            at: machine.explain(handle),
+            share,
         };
         Report {
             instances: self.instances.iter().map(|(name, _)| name.clone()).collect(),
             window: machine.window(),
             window_ms: self.window_ms,
             own_part: machine.holds_own(),
-            tenants: machine.top(SHOWN).into_iter().filter_map(shown).collect(),
+            tenants: top.iter().cloned().map(shown).collect(),
             peers: machine.peers(),
             refused: machine.refused,
         }
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -816,7 +816,7 @@
             // What a client sends says nothing of the server that turns it down, nor does a dead connection.
             Outcome::Cancelled | Outcome::NotSent | Outcome::Rejected | Outcome::Unheard => {}
             Outcome::ConnectFailed => self.suspect(id, outcome, took),
-            // Servers close on what they can't read, and break off single answers: several that break together
+            // Servers close on what they can't read, and break off single answers: several that break at once
             // are a crash. One that drains, or is full with what others sent, costs a turn each time.
             Outcome::TimedOut | Outcome::Error | Outcome::Reset | Outcome::Full => {
                 let broke = outcome == Outcome::Reset;
--- a/crates/usage/benches/usage.rs
+++ b/crates/usage/benches/usage.rs
@@ -12,6 +12,7 @@
 fn main() {
     let svg = std::env::args().skip(1).find(|a| a.ends_with(".svg"));
     decision();
+    forged();
     bytes();
     let rows = against_loss();
     if let Some(path) = svg {
@@ -38,6 +39,21 @@
     println!("memory of {tenants} tenants: {} bytes each", usage.count_size());
 }
 
+/// The cost of a datagram that was not made with the secret, of the longest there may be.
+fn forged() {
+    let mut fleet = Fleet::new(4, &[1000], 1);
+    let (usage, mut out, bytes) = (fleet.usage(0), Vec::new(), [7; 1200]);
+    let began = Instant::now();
+    for _ in 0..100_000 {
+        let _ = black_box(usage.hear(black_box(&bytes), &mut out));
+    }
+    println!(
+        "forged datagram: {:.0} ns, {} turned down",
+        began.elapsed().as_nanos() as f64 / 100_000.0,
+        usage.refused
+    );
+}
+
 /// Bytes a second of each instance, with one tenant that asks everywhere and a hundred that ask somewhere.
 fn bytes() {
     for n in [4, 40, 400] {
--- a/crates/usage/src/machine.rs
+++ b/crates/usage/src/machine.rs
@@ -336,9 +336,13 @@
     /// Tells the time; what is to be sent is appended.
     pub fn tick(&mut self, clock: u64, out: &mut Vec<Datagram>) {
         self.now = clock.saturating_add_signed(self.offset).max(1);
-        self.set_clock();
+        // Not for each datagram that comes, of which whoever forges them may send very many.
+        let due = self.now.abs_diff(self.spoke) >= self.set.exchange_ms;
+        if due {
+            self.set_clock();
+        }
         self.enter();
-        if self.now.abs_diff(self.spoke) >= self.set.exchange_ms {
+        if due {
             self.spoke = self.now;
             self.reckon();
             self.speak(out);
@@ -352,15 +356,18 @@
         speaks.min(end.saturating_sub(self.now)).clamp(1, self.set.exchange_ms)
     }
 
-    /// Goes by the others' clocks where most of them agree that this one is far off.
+    /// Goes by the others' clocks where more than half of all, this one among them, agree that this one is far off. Where they
+    /// are divided evenly nobody moves: both halves would, and be as far apart as before.
     fn set_clock(&mut self) {
         let alive = |p: &&Peer| p.heard_at.is_some_and(|at| self.now.abs_diff(at) < self.set.gone_ms);
         let mut ahead: Vec<i64> = self.peers.iter().filter(alive).map(Peer::surely_ahead).collect();
-        if 2 * ahead.len() < self.set.instances {
+        ahead.push(0);
+        if 2 * ahead.len() <= self.set.instances {
             return;
         }
         ahead.sort_unstable();
-        let median = ahead[ahead.len() / 2];
+        let (low, high) = (ahead[(ahead.len() - 1) / 2], ahead[ahead.len() / 2]);
+        let median = 0.clamp(low, high);
         if median.unsigned_abs() > self.set.window_ms / 2 {
             self.offset += median;
             let before = self.now;
@@ -792,13 +799,17 @@
         }
     }
 
-    /// The keys of which most is spent, as far as is known here.
-    pub fn top(&self, most: usize) -> Vec<Share> {
-        let mut all: Vec<Share> = (0..self.counts.len()).map(|handle| self.show(handle)).collect();
-        all.retain(|s| s.asked > 0 || s.others > 0 || s.before.1 > 0);
-        let order =
-            |s: &Share| std::cmp::Reverse(u64::from(s.spent) + u64::from(s.others) + u64::from(s.before.0));
-        all.sort_by_key(order);
+    /// The keys of which most is spent, as far as is known here, each with its handle; of those that were asked for lately or
+    /// change hands.
+    pub fn top(&self, most: usize) -> Vec<(usize, Share)> {
+        let mut handles: Vec<usize> = self.active.iter().chain(self.shared.keys()).copied().collect();
+        handles.sort_unstable();
+        handles.dedup();
+        let mut all: Vec<(usize, Share)> =
+            handles.into_iter().map(|handle| (handle, self.show(handle))).collect();
+        all.retain(|(_, s)| s.asked > 0 || s.others > 0 || s.before.1 > 0);
+        let sum = |s: &Share| u64::from(s.spent) + u64::from(s.others) + u64::from(s.before.0);
+        all.sort_by_key(|(_, s)| std::cmp::Reverse(sum(s)));
         all.truncate(most);
         all
     }
--- a/crates/usage/tests/fleet.rs
+++ b/crates/usage/tests/fleet.rs
@@ -179,6 +179,23 @@
     }
 }
 
+#[test]
+fn clocks_that_are_evenly_divided_move_nobody() {
+    for clocks in [vec![0, 3_600_000], vec![0, 3_600_000, 3_600_000, 0]] {
+        let n = clocks.len();
+        let mut fleet = Fleet::new(n, &[1000], 28);
+        fleet.clocks = clocks.clone();
+        (0..n).for_each(|at| fleet.start(at));
+        fleet.run(SETTLE, &[400.0], anywhere(n));
+        for (at, ahead) in clocks.iter().enumerate() {
+            let window = fleet.now.saturating_add_signed(*ahead) / WINDOW;
+            assert_eq!(fleet.usage(at).window(), window, "{clocks:?}: {at}");
+            assert!(fleet.usage(at).holds_own(), "{clocks:?}: {at}");
+        }
+        assert_eq!(fleet.overshoot(), 0.0);
+    }
+}
+
 #[test]
 fn windows_that_roll_over_at_different_moments_keep_the_bound_by_their_numbers() {
     let mut fleet = settled(4, &[1000], 15);
