Copies feed no copies, and heavy work has more time before its copy

In an overload the copy is often the faster one, and each such allowed two more: copies fed copies, before requests that waited (send_copies, on_ended). Where worth goes by work, heavy requests always take twice their class's usual time, and were copied.

Three mutations, each once, fail a test.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -26,7 +26,7 @@
 /// The retry budget that may be saved up, in attempts.
 const RETRY_BUDGET_MAX: f64 = 10.0;
 /// After how many times its usual time a second copy is sent, and how many copies each answer allows that got
-/// lost, or came first from a copy: where none get lost none are sent, as long work is as long elsewhere.
+/// lost. One that comes first was worth itself and no more: in an overload, copies would else feed copies.
 const COPY_AFTER: f64 = 2.0;
 const COPIES: f64 = 2.0;
 /// What each other end takes away: where fewer than one in a hundred got lost, no copies are sent.
@@ -729,9 +729,8 @@
     }
 
     /// Rule 4: what all nodes send to a cold server in one window must stay below a multiple of what it can
-    /// do by now. What a warm server of its size is seen to answer is the measure, and each node spaces its
-    /// sends by its own traffic's part, without a least: by the number of nodes alone it would be too much.
-    /// A random part of the space is waited first, or all would send at once when they hear of the server.
+    /// do by now. What a warm one of its size is seen to answer is the measure, and nodes space their sends
+    /// by their own traffic; a random part of the space is waited first, or all would send at once.
     fn within_slow_start(&self, server: &Server) -> bool {
         let rules = &self.set.rules;
         let warmth = server.warmth(self.now, rules);
@@ -1016,8 +1015,8 @@
         let open = request.pending() || request.bound == Bound::Answer;
         let done = outcome == Outcome::Done;
         let overtaken = request.attempts.iter().find(|a| done && a.outcome.is_none()).copied();
-        let lost = self.set.limits.second_copies && (overtaken.is_some() || outcome == Outcome::Unheard);
-        let gain = if lost { COPIES } else { -COPIES_FADE };
+        let lost = self.set.limits.second_copies && outcome == Outcome::Unheard;
+        let gain = if lost { COPIES } else { overtaken.map_or(-COPIES_FADE, |_| 1.0) };
         self.copies = (self.copies + gain).clamp(0.0, RETRY_BUDGET_MAX);
         self.learn(class, ended, outcome, took);
         // Called off with its request, it would tell nothing of a server that hangs.
@@ -1198,16 +1197,18 @@
         gains.into_iter().map(|gain| gain < LESSER * best).collect()
     }
 
-    /// Sends second copies of what has long been out, where answers get lost: waited out to the end of its
-    /// use, a lost one leaves no time for another attempt.
+    /// Sends second copies of what has long been out, where answers get lost: at the end of its use this
+    /// leaves no time for another. None goes in the place of one that waits; heavy work has more time.
     fn send_copies(&mut self, actions: &mut Vec<Action>) {
         let slow = |r: &Request| {
-            let (usual, end) = (self.classes[r.class].mean, self.useful_until(r) - self.now);
+            let heavy = self.classes[r.class].work.map_or(1.0, |mean| (r.work / mean).max(1.0));
+            let (usual, end) = (heavy * self.classes[r.class].mean, self.useful_until(r) - self.now);
             let out = r.pending() && r.attempts.len() == 1 && end > usual;
             out && self.now - r.attempts[0].sent >= COPY_AFTER * usual
         };
         let slow: Vec<RequestId> = self.requests.iter().filter(|(_, r)| slow(r)).map(|(id, _)| *id).collect();
-        for id in slow.into_iter().take(self.copies as usize) {
+        let most = if self.waiting.is_empty() { self.copies as usize } else { 0 };
+        for id in slow.into_iter().take(most) {
             let Some(server) = self.next_turn(|b, s| b.ready(s) && b.may_go(id, s)) else { continue };
             self.copies -= 1.0;
             self.send(id, server, actions);
--- a/crates/policy/tests/copies.rs
+++ b/crates/policy/tests/copies.rs
@@ -66,6 +66,55 @@
     assert_eq!(copies, 4, "two for each");
 }
 
+#[test]
+fn copies_that_come_first_allow_no_more_than_themselves() {
+    // Slow servers, no lost answers: each copy is the faster one.
+    let mut node = node_of(settings(), 1, 12);
+    let mut copies = 0;
+    for _ in 0..40 {
+        let asked: Vec<_> = (0..4).map(|_| node.ask(SAFE).0).collect();
+        let sent = sends(&node.wait(35.0));
+        copies = copies.max(sent.iter().filter(|id| asked.contains(id)).count());
+        for id in asked {
+            node.end(id, Outcome::Done);
+        }
+    }
+    assert_eq!(copies, 2, "two for the one that got lost");
+}
+
+#[test]
+fn no_copy_goes_before_a_request_that_waits() {
+    let mut node = node(settings(), 3);
+    let asked: Vec<_> = (0..20).map(|_| node.ask(SAFE)).collect();
+    let out: Vec<_> = asked.iter().filter(|(_, actions)| sent_to(actions).is_some()).map(|a| a.0).collect();
+    assert!(out.len() < asked.len(), "some wait");
+    node.now += 22.0;
+    let actions = node.end(out[0], Outcome::Done);
+    assert!(!sends(&actions).is_empty() && sends(&actions).iter().all(|id| !out.contains(id)), "{actions:?}");
+}
+
+#[test]
+fn heavy_work_has_more_time_before_its_copy() {
+    let mut node = node(Settings { by_work: true, ..settings() }, 0);
+    let ask = |node: &mut Node, id: u64, work: f64| {
+        let (id, deadline, work) = (RequestId(10_000 + id), node.now + PATIENCE, Some(work));
+        let (class, tenant, alike, within) = (SAFE, None, None, None);
+        (id, node.event(Event::Request { id, class, tenant, deadline, alike, work, within }))
+    };
+    for n in 0..40 {
+        let (id, actions) = ask(&mut node, n, 10.0);
+        let server = sent_to(&actions).expect("it is sent");
+        node.now += 10.0;
+        let (attempt, outcome, finished) = (0, Outcome::Done, true);
+        node.event(Event::Ended { id, attempt, server, outcome, took: 10.0, finished });
+    }
+    let (lost, _) = node.ask(UNSAFE);
+    node.end(lost, Outcome::Unheard);
+    let ((light, _), (heavy, _)) = (ask(&mut node, 100, 10.0), ask(&mut node, 101, 40.0));
+    let sent = sends(&node.wait(50.0));
+    assert!(sent.contains(&light) && !sent.contains(&heavy), "{sent:?}");
+}
+
 #[test]
 fn copies_keep_to_what_the_class_and_the_settings_allow() {
     let mut unsafe_one = node(settings(), 2);
