--- a/crates/usage/src/machine.rs
+++ b/crates/usage/src/machine.rs
@@ -82,7 +82,7 @@
     asked: u32,
     /// The same of the window before.
     before: (u32, u32),
-    /// Spent ahead of time from the next window: nothing; but what is held of it counts when it comes.
+    /// What is left to be spent in this window, as it was last reckoned.
     held: u32,
     /// For which view of the votes `held` was reckoned.
     view: u64,
@@ -273,11 +273,6 @@
         handle
     }
 
-    /// How many instances there are.
-    pub fn instances(&self) -> usize {
-        self.set.instances
-    }
-
     /// The window by now.
     pub fn window(&self) -> u64 {
         self.window
