A request is not sent on for a client that has left; a crossing request is answered

Causes: - policy/balance.rs, cancel_all: where attempts may not be cancelled, one that still waited for its connection was left alone when its client had gone, and was sent once the connection came up. Nothing was to be cancelled: it had not begun. The core now calls back what has not gone out of a request to which nothing is owed (Output::Recall), whatever ended it; a backend gives up what it has not written, as NotSent, and lets the rest run on. - front/http1.rs: hyper looks for the end of a connection only while its buffer is empty, and reads no body that nobody wants. Bytes behind a request, or a body half read, hid that the client had closed, and the request behind was sent on for nobody. The kernel tells of it all the same (the end of what is read); a connection is watched for that while an answer is owed. Alike in front/msgpack.rs, where nothing is read while answers are not taken. - front/http1.rs, converse: the order in which closing an idle connection and a request on it were seen was drawn at random, and the closing won: a request read in that moment lost its answer. What has come is read first, and whoever was told to close looks again (Clients::closes). A connection chosen to make room that is in use again is counted again. - runtime.rs, stop: from 0.5 s before SIGKILL on each request was taken, started, and failed within 5 ms, or lost with the process. It is refused at once.

Measured: 204 requests over HTTP and 216 over MessagePack-RPC whose clients closed, half-closed or reset while they waited for a turn or a connection: none sent. A body that the kernel can't hold keeps the end of its client behind it, and is not told from a slow one.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -79,6 +79,9 @@
     },
     /// Give an attempt up, and report its end now.
     Abandon(AttemptId),
+    /// Nobody waits for an attempt any more: give it up if its last byte has not gone out, whatever may be cancelled. It has
+    /// not begun anywhere, and must not begin once its client has left or has its answer.
+    Recall(AttemptId),
     /// Ask discovery for the list's changes from now on, once more where that was done before.
     Subscribe,
     /// Probe a server, and report with [`Core::probed`].
@@ -335,7 +338,9 @@
         if !self.requests.contains_key(&request) {
             return;
         }
-        self.settle(request);
+        if self.settle(request) {
+            self.recall(request);
+        }
         self.feed(now, Event::ClientGone(request));
         self.drop_if_over(request);
     }
@@ -489,9 +494,17 @@
     fn give(&mut self, request: RequestId, answer: Final<R>) {
         if self.settle(request) {
             self.outputs.push_back(Output::Answer { request, answer });
+            self.recall(request);
         }
     }
 
+    /// Calls back what has not gone out of a request to which nothing is owed any more.
+    fn recall(&mut self, request: RequestId) {
+        let Some(open) = self.requests.get(&request) else { return };
+        let out = open.tries.iter().enumerate().filter(|(_, t)| t.stage == Stage::Out);
+        self.outputs.extend(out.map(|(number, _)| Output::Recall(AttemptId { request, number })));
+    }
+
     /// Notes that nothing more is owed; false where that was so before.
     fn settle(&mut self, request: RequestId) -> bool {
         let Some(open) = self.requests.get_mut(&request) else { return false };
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -185,6 +185,42 @@
     assert_eq!((abandoned, answers(all)), (3, vec![Final::Failed; 3]));
 }
 
+/// What has not gone out yet must not go out for nobody, also where no attempt may be cancelled: when its client leaves,
+/// when another attempt has answered, when the guard has.
+#[test]
+fn what_waits_is_called_back_once_nothing_is_owed() {
+    let mut set = settings();
+    set.limits.cancel = false;
+    let under = || {
+        let mut core: Under = Core::new(set.clone(), 7, 10).expect("good settings");
+        core.list(0.0, (0..2).map(entry).collect(), false);
+        let request = core.take(1.0, incoming(0, "a", 1.0, 500.0)).expect("taken");
+        let first = started(&outputs(&mut core))[0];
+        (core, request, first)
+    };
+    let (mut core, request, first) = under();
+    core.client_gone(2.0, request);
+    assert_eq!(outputs(&mut core), [Output::Recall(first)]);
+    // Its backend has it no more; it can't be tried again, and nothing is left.
+    core.attempt_ended(2.0, first, Ended::Without(Outcome::NotSent));
+    assert_eq!((outputs(&mut core), core.open()), (vec![], 0));
+    // Said twice, it is called back once.
+    core.client_gone(3.0, request);
+    assert_eq!(outputs(&mut core), []);
+
+    let (mut core, _, first) = under();
+    core.handle_timeout(500.0);
+    let all = outputs(&mut core);
+    assert!(all.contains(&Output::Recall(first)), "{all:?}");
+    assert_eq!(answers(all), [Final::Overdue]);
+
+    let (mut core, _, first) = under();
+    core.fail_all(3.0);
+    let all = outputs(&mut core);
+    assert!(all.contains(&Output::Recall(first)), "{all:?}");
+    assert_eq!(answers(all), [Final::Failed]);
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Ask(usize),
@@ -333,6 +369,16 @@
                         let how = Outcome::Cancelled;
                         core.attempt_ended(now, attempt, if runs_on { Ended::RunsOn(how) } else { Ended::Without(how) });
                     }
+                    Output::Recall(attempt) => {
+                        let held = seen.get_mut(&attempt.request).expect("known");
+                        prop_assert!(held.answers == 1 || held.gone, "called back while it was owed");
+                        // Some wait for a connection still.
+                        if attempt.request.0 % 3 == 0 {
+                            out.retain(|a| *a != attempt);
+                            (held.tries[attempt.number].2, held.tries[attempt.number].3) = (false, false);
+                            core.attempt_ended(now, attempt, Ended::Without(Outcome::NotSent));
+                        }
+                    }
                     Output::Probe(server) => core.probed(now, server, Outcome::Done, 1.0),
                     Output::Subscribe => {}
                 }
--- a/crates/msgpack-rpc/src/client.rs
+++ b/crates/msgpack-rpc/src/client.rs
@@ -171,6 +171,11 @@
         GivenUp::RunsOn
     }
 
+    /// Is it open, with no byte of it written?
+    pub fn is_unwritten(&self, name: &T) -> bool {
+        self.find(name).is_some_and(|id| self.unwritten.iter().any(|u| u.id == id && !u.begun))
+    }
+
     /// Takes back all calls of which no byte has been written, in their order: they never ran.
     pub fn withdraw(&mut self) -> Vec<T> {
         let mut back = Vec::new();
--- a/crates/node/src/backend/http1.rs
+++ b/crates/node/src/backend/http1.rs
@@ -269,9 +269,18 @@
     hub: Rc<Hub>,
     pool: Rc<Pool>,
     /// The attempts that are out.
-    out: RefCell<HashMap<AttemptId, AbortHandle>>,
+    out: RefCell<HashMap<AttemptId, Out>>,
 }
 
+/// An attempt that is out.
+struct Out {
+    task: AbortHandle,
+    /// When its last byte went out; `None` while it waits for a connection or is being written.
+    whole_at: WholeAt,
+}
+
+type WholeAt = Rc<Cell<Option<Instant>>>;
+
 impl Servers {
     /// No connections yet.
     pub fn new(hub: Rc<Hub>, descriptors: Rc<Descriptors>) -> Rc<Self> {
@@ -283,24 +292,32 @@
 
     /// Starts an attempt.
     pub fn start(self: &Rc<Self>, attempt: AttemptId, server: ServerId, end: Instant, call: Rc<Call>) {
-        let servers = self.clone();
+        let (servers, whole_at) = (self.clone(), WholeAt::default());
+        let of = (attempt, whole_at.clone());
         let task = tokio::task::spawn_local(async move {
             let message = Message::Call(call);
-            let ended = exchange(&servers, server, end, &message, Some(attempt)).await;
+            let ended = exchange(&servers, server, end, &message, Some(of)).await;
             servers.out.borrow_mut().remove(&attempt);
             servers.hub.attempt_ended(attempt, ended);
         });
-        self.out.borrow_mut().insert(attempt, task.abort_handle());
+        self.out.borrow_mut().insert(attempt, Out { task: task.abort_handle(), whole_at });
     }
 
-    /// Gives an attempt up, where it is one of these: ending the task closes its connection.
+    /// Gives an attempt up, where it is one of these: ending the task closes its connection. One whose last byte was still
+    /// here never ran.
     pub fn abandon(&self, attempt: AttemptId) -> bool {
-        let Some(task) = self.out.borrow_mut().remove(&attempt) else { return false };
-        task.abort();
-        self.hub.attempt_ended(attempt, Ended::Without(Outcome::Cancelled));
+        let Some(out) = self.out.borrow_mut().remove(&attempt) else { return false };
+        out.task.abort();
+        let outcome = if out.whole_at.get().is_some() { Outcome::Cancelled } else { Outcome::NotSent };
+        self.hub.attempt_ended(attempt, Ended::Without(outcome));
         true
     }
 
+    /// Is it one of these, with its last byte still here?
+    pub fn unsent(&self, attempt: AttemptId) -> bool {
+        self.out.borrow().get(&attempt).is_some_and(|out| out.whole_at.get().is_none())
+    }
+
     /// Probes a server.
     pub fn probe(self: &Rc<Self>, server: ServerId) {
         let servers = self.clone();
@@ -333,8 +350,10 @@
     server: ServerId,
     end: Instant,
     message: &Message,
-    attempt: Option<AttemptId>,
+    of: Option<(AttemptId, WholeAt)>,
 ) -> Ended<Reply> {
+    let (attempt, whole_at) = of.unzip();
+    let whole_at = whole_at.unwrap_or_default();
     let (hub, pool) = (&servers.hub, &servers.pool);
     // What can be sent once is not risked on a connection that may have gone dead.
     let fresh = matches!(message, Message::Probe) || message.rest().is_some();
@@ -368,7 +387,6 @@
             (None, Some(rest)) => link.sock.begin_open(rest.uptake.clone()),
             (length, _) => link.sock.begin(length.unwrap_or(0)),
         }
-        let whole_at: Rc<Cell<Option<Instant>>> = Rc::default();
         if let Some(attempt) = attempt {
             let (told, whole_at, comes) = (hub.clone(), whole_at.clone(), message.rest().is_some());
             link.sock.when_whole(move || {
--- a/crates/node/src/backend/msgpack.rs
+++ b/crates/node/src/backend/msgpack.rs
@@ -210,6 +210,14 @@
         true
     }
 
+    /// Is it one of these, with no byte of it written? One that is begun can't be taken back.
+    pub fn unsent(&self, attempt: AttemptId) -> bool {
+        let out = self.out.borrow();
+        let Some(conn) = out.get(&attempt) else { return false };
+        let state = conn.state.borrow();
+        state.waiting.iter().any(|w| w.attempt == attempt) || state.machine.is_unwritten(&attempt)
+    }
+
     /// Ends an attempt that is still out: `unsent` if no byte of it was written, else it runs on as `sent`.
     fn give_up(&self, conn: &Conn, attempt: AttemptId, unsent: Outcome, sent: Outcome) -> Ended<Reply> {
         let mut state = conn.state.borrow_mut();
@@ -260,14 +268,14 @@
                 conn.state.borrow_mut().machine.ended();
                 self.events(conn);
                 // What was queued meanwhile never ran. One that never said a word is as good as none.
-                self.unsent(conn, if reached { Outcome::NotSent } else { Outcome::ConnectFailed });
+                self.end_waiting(conn, if reached { Outcome::NotSent } else { Outcome::ConnectFailed });
             }
-            Err(outcome) => self.unsent(conn, outcome),
+            Err(outcome) => self.end_waiting(conn, outcome),
         }
     }
 
     /// Ends all calls that wait. The first one tells what happened to the connection; once is enough.
-    fn unsent(&self, conn: &Conn, first: Outcome) {
+    fn end_waiting(&self, conn: &Conn, first: Outcome) {
         let mut outcome = first;
         // Nothing more is put here.
         conn.state.borrow_mut().machine.retire();
@@ -370,7 +378,7 @@
                 self.forget_attempt(conn, attempt);
                 self.ended(attempt, Outcome::NotSent);
             }
-            return self.unsent(conn, Outcome::NotSent);
+            return self.end_waiting(conn, Outcome::NotSent);
         }
         // A connection that has stood idle may have been closed: that is read first, so that nothing is lost to it.
         if conn.state.borrow().machine.open() == 0 && !sock.quiet() {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -142,7 +142,7 @@
 }
 
 /// Reads a configuration; what the environment names goes before what the file says.
-fn parse(value: &Value, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+pub(crate) fn parse(value: &Value, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
     let text = |name: &str| {
         let upper = format!("BALANCER_{}", name.to_uppercase());
         let file = || value.get(name).and_then(Value::as_str).map(|v| (name.to_string(), v.to_string()));
--- a/crates/node/src/custody/guard.rs
+++ b/crates/node/src/custody/guard.rs
@@ -35,6 +35,10 @@
         }
     }
 
+    fn unsent(&self, attempt: AttemptId) -> bool {
+        self.custody.means(attempt) || self.inner.unsent(attempt)
+    }
+
     fn probe(&self, server: ServerId) {
         self.inner.probe(server);
     }
--- a/crates/node/src/custody/mod.rs
+++ b/crates/node/src/custody/mod.rs
@@ -744,6 +744,11 @@
         }
     }
 
+    /// Does an attempt wait here for its intent to be written?
+    fn means(&self, attempt: AttemptId) -> bool {
+        self.held.borrow().values().any(|held| held.meant.iter().any(|meant| meant.attempt == attempt))
+    }
+
     /// An attempt is given up; `false` where it is not waiting here.
     fn abandon(&self, attempt: AttemptId) -> bool {
         let found = {
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -1,7 +1,8 @@
 //! Clients that speak HTTP/1.1: reading requests, and the one final answer of each.
 
 use std::convert::Infallible;
-use std::pin::Pin;
+use std::future::Future;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
@@ -57,12 +58,26 @@
             .max_buf_size(HEAD_MOST)
             .auto_date_header(false)
             .serve_connection(Io(client.sock.clone()), service);
-        tokio::select! {
-            // What breaks a client's connection is the client's to see.
-            _ = conn => {
-                let _ = timeout(LINGER, client.sock.linger()).await;
+        // What breaks a client's connection is the client's to see.
+        if self.drive(conn, &client).await {
+            let _ = timeout(LINGER, client.sock.linger()).await;
+        }
+    }
+
+    /// Serves a connection until it ends by itself, which is said, or is of no more use. Whoever has closed is gone, with
+    /// what is owed to it: hyper reads no further than one request ahead, and may not see it.
+    async fn drive(&self, conn: impl Future, client: &Client) -> bool {
+        let mut conn = pin!(conn);
+        loop {
+            tokio::select! {
+                // What has come is read before the connection is judged: a request that crosses its closing is served.
+                biased;
+                _ = &mut conn => return true,
+                () = client.sock.deserted() => return false,
+                () = client.close.notified() => if self.clients.closes(client) {
+                    return false;
+                }
             }
-            () = client.close.notified() => {}
         }
     }
 }
@@ -134,7 +149,7 @@
                     Some(rest) => sock.body_goes_on(rest.uptake.clone()),
                 }
                 came_whole = asked.call.rest.is_none();
-                settle(hub, asked, arrived, remaining).await
+                settle(hub, &sock, asked, arrived, remaining).await
             }
             Err(bad) => (bad.answer(), End::Errored),
         };
@@ -188,12 +203,21 @@
 /// Gives up the request when the client's connection ends before its answer.
 struct Owed {
     hub: Rc<Hub>,
+    sock: Rc<Sock>,
     asked: hub::Asked,
     answered: bool,
 }
 
+impl Owed {
+    fn new(hub: &Rc<Hub>, sock: &Rc<Sock>, asked: hub::Asked) -> Self {
+        sock.owe(true);
+        Self { hub: hub.clone(), sock: sock.clone(), asked, answered: false }
+    }
+}
+
 impl Drop for Owed {
     fn drop(&mut self) {
+        self.sock.owe(false);
         if !self.answered {
             self.hub.gone(self.asked);
         }
@@ -203,6 +227,7 @@
 /// Hands the request to the core and waits for its final answer.
 async fn settle(
     hub: &Rc<Hub>,
+    sock: &Rc<Sock>,
     asked: Asked,
     arrived: Instant,
     remaining: Duration,
@@ -231,7 +256,7 @@
         Err(NotTaken::NoSuchClass) => return (plain(StatusCode::NOT_FOUND), End::Errored),
         Err(NotTaken::KeyMissing) => return (plain(StatusCode::BAD_REQUEST), End::Errored),
     };
-    let mut owed = Owed { hub: hub.clone(), asked, answered: false };
+    let mut owed = Owed::new(hub, sock, asked);
     let Ok(answer) = answered.await else { return (plain(StatusCode::GATEWAY_TIMEOUT), End::Errored) };
     owed.answered = true;
     let end = end_of(&answer);
@@ -422,3 +447,156 @@
     let key = if keyed { Some(token(header(headers, &KEY)?)?) } else { None };
     Ok((id, key, Duration::from_millis(remaining.min(LONGEST_WAIT as u64))))
 }
+
+#[cfg(test)]
+mod tests {
+    use std::cell::{Cell, OnceCell};
+
+    use glenwood_core::{AttemptId, Ended};
+    use glenwood_policy::ServerId;
+    use serde_json::json;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::{TcpListener, TcpStream};
+    use tokio::task::{spawn_local, LocalSet};
+
+    use super::*;
+    use crate::config;
+    use crate::hub::Outside;
+
+    /// Serves all at once.
+    #[derive(Default)]
+    struct Server {
+        hub: OnceCell<Rc<Hub>>,
+        starts: Cell<usize>,
+    }
+
+    impl Outside for Server {
+        fn start(&self, attempt: AttemptId, _: ServerId, _: Instant, _: Rc<Call>) {
+            self.starts.set(self.starts.get() + 1);
+            let reply =
+                Reply { headers: HeaderMap::new(), body: Content::Whole(Bytes::from_static(b"served")) };
+            self.hub.get().expect("set").attempt_ended(attempt, Ended::Served(reply));
+        }
+        fn abandon(&self, _: AttemptId) {}
+        fn unsent(&self, _: AttemptId) -> bool {
+            false
+        }
+        fn probe(&self, _: ServerId) {}
+        fn forget(&self, _: ServerId) {}
+        fn subscribe(&self) {}
+        fn unsubscribe(&self) {}
+    }
+
+    /// A front with one client's connection, which has been served once and is idle.
+    struct Under {
+        clients: Rc<Clients>,
+        client: Rc<Client>,
+        server: Rc<Server>,
+        peer: TcpStream,
+    }
+
+    fn asks(txn: &str) -> String {
+        format!("GET /look HTTP/1.1\r\nHost: x\r\nX-Txn: {txn}\r\nX-Remaining-Ms: 9000\r\n\r\n")
+    }
+
+    impl Under {
+        async fn new() -> Self {
+            let file = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
+                "known": {"seq": 1, "whole": true, "hosts": [{"host": "s0", "dial": "127.0.0.1:1", "site": "a",
+                    "class": "m", "block": 1, "health": "active", "share": 1.0, "born_ms": 0}]},
+                "settings": {"Me": 0, "PeersTotal": 1, "Discovery": "subscribe",
+                    "Classes": [{"Name": "look", "Slo": 900, "Deadline": 9000, "Value": 1, "Idempotency": "pure"}],
+                    "Limits": {"AttemptsCap": 3, "ConnectTimeout": 50},
+                    "Contract": {"ColdShare": 0.2, "WarmWithin": 5000, "FallMultiple": 3, "Fall": 2000}}});
+            let mut config = config::parse(&file, |_| None).expect("good");
+            let known = config.known.take();
+            let hub = Hub::new(config, None).expect("good settings");
+            let server = Rc::new(Server::default());
+            let _ = server.hub.set(hub.clone());
+            hub.start(server.clone(), known);
+            let clients = Clients::new(hub.clone());
+            let front = Front::new(hub, clients.clone());
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let mut peer =
+                TcpStream::connect(listener.local_addr().expect("bound")).await.expect("it listens");
+            let (number, client) =
+                clients.came(listener.accept().await.expect("it came").0).expect("it stands");
+            let (served, all) = (client.clone(), clients.clone());
+            spawn_local(async move {
+                front.converse(served).await;
+                all.left(number);
+            });
+            peer.write_all(asks("t1").as_bytes()).await.expect("it is read");
+            assert!(answer(&mut peer).await.starts_with("HTTP/1.1 200"));
+            assert_eq!(client.sock.phase().0, Phase::Idle);
+            Self { clients, client, server, peer }
+        }
+
+        /// In the same moment: nothing of the connection is run before both have happened.
+        fn closes_as_it_writes(&mut self, words: &str) {
+            self.client.close.notify_one();
+            assert_eq!(self.peer.try_write(words.as_bytes()).expect("it stands"), words.len());
+        }
+    }
+
+    /// One answer, or what came of it until the connection ended.
+    async fn answer(peer: &mut TcpStream) -> String {
+        let mut text = String::new();
+        let mut byte = [0];
+        while !text.ends_with("served") && matches!(peer.read(&mut byte).await, Ok(1)) {
+            text.push(char::from(byte[0]));
+        }
+        text
+    }
+
+    fn run(test: impl Future<Output = ()>) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            timeout(Duration::from_secs(30), test).await.expect("it does not wait for ever");
+        });
+    }
+
+    #[test]
+    fn a_request_that_comes_as_its_idle_connection_is_closed_is_answered() {
+        run(async {
+            let mut under = Under::new().await;
+            under.closes_as_it_writes(&asks("t2"));
+            assert!(answer(&mut under.peer).await.starts_with("HTTP/1.1 200"));
+            // A part of one crosses it, and the rest comes later.
+            let words = asks("t3");
+            let (first, rest) = words.split_at(20);
+            under.closes_as_it_writes(first);
+            while under.client.sock.phase().0 != Phase::Reading {
+                tokio::task::yield_now().await;
+            }
+            under.peer.write_all(rest.as_bytes()).await.expect("it stands");
+            assert!(answer(&mut under.peer).await.starts_with("HTTP/1.1 200"));
+            assert_eq!(under.server.starts.get(), 3);
+            // Nothing crosses it: it is closed.
+            let Under { client, mut peer, .. } = under;
+            client.close.notify_one();
+            drop(client);
+            assert_eq!(answer(&mut peer).await, "");
+        });
+    }
+
+    /// Room is made by a connection that turns out to be in use: it keeps its place, and is not counted as free.
+    #[test]
+    fn a_connection_in_use_again_makes_no_room() {
+        run(async {
+            let mut under = Under::new().await;
+            under.clients.bound(1);
+            assert!(under.clients.evict());
+            let words = asks("t2");
+            assert_eq!(under.peer.try_write(words.as_bytes()).expect("it stands"), words.len());
+            assert!(answer(&mut under.peer).await.starts_with("HTTP/1.1 200"));
+            // It is the one that makes room next.
+            let Under { client, clients, mut peer, .. } = under;
+            drop(client);
+            assert_eq!(clients.count(), 1);
+            clients.room().await;
+            assert_eq!(answer(&mut peer).await, "");
+            assert_eq!(clients.count(), 0);
+        });
+    }
+}
--- a/crates/node/src/front/msgpack.rs
+++ b/crates/node/src/front/msgpack.rs
@@ -116,14 +116,15 @@
                 amid = None;
             }
             let Ok(wrote) = write(&sock, &conn) else { return };
-            let (wants, unsent, idle, over, partly) = {
+            let (wants, unsent, idle, over, partly, owes) = {
                 let mut machine = conn.machine.borrow_mut();
                 if self.hub.failing.get() {
                     machine.finish();
                 }
                 let unsent = !machine.output().is_empty();
                 let idle = machine.open() == 0 && !unsent && !machine.amid();
-                (machine.wants_bytes(), unsent, idle, machine.is_over(), machine.amid())
+                let owes = machine.open() > 0;
+                (machine.wants_bytes(), unsent, idle, machine.is_over(), machine.amid(), owes)
             };
             self.hold(&conn, self.in_use(&conn));
             if over || (idle && self.hub.closing.get() && sock.quiet()) {
@@ -152,7 +153,11 @@
                     }
                 }
                 () = conn.changed.notified() => {}
-                () = client.close.notified() => break,
+                // Whoever has closed is gone: behind bytes that are not wanted yet that would not be read.
+                () = sock.closed(), if owes && !wants => return,
+                () = client.close.notified() => if self.clients.closes(&client) {
+                    break;
+                },
                 () = tokio::time::sleep_until(asleep.into()) => {
                     log::line("msgpack: a client took too long, closed".to_string());
                     return;
--- a/crates/node/src/front/table.rs
+++ b/crates/node/src/front/table.rs
@@ -34,8 +34,24 @@
 pub struct Client {
     /// Its socket.
     pub sock: Rc<Sock>,
-    /// Told when the connection is to be closed at once.
+    /// Told when the connection is to be closed, if [`Clients::closes`] then finds so too.
     pub close: Notify,
+    /// It has been told so to make room, which is counted on.
+    evicted: Cell<bool>,
+}
+
+impl Client {
+    fn evicted(&self, evicted: bool, of: &Cell<usize>) {
+        match (self.evicted.replace(evicted), evicted) {
+            (false, true) => of.set(of.get() + 1),
+            (true, false) => of.set(of.get() - 1),
+            _ => {}
+        }
+    }
+
+    fn answer_is_stuck(&self) -> bool {
+        self.sock.moved().max(self.sock.phase().1).elapsed() >= ANSWERING
+    }
 }
 
 /// The connections of clients.
@@ -44,6 +60,8 @@
     open: RefCell<HashMap<u64, Rc<Client>>>,
     last: Cell<u64>,
     most: Cell<usize>,
+    /// How many are about to be closed to make room.
+    evicted: Cell<usize>,
     freed: Notify,
 }
 
@@ -52,7 +70,7 @@
     pub fn new(hub: Rc<Hub>) -> Rc<Self> {
         let most = Cell::new(hub.config.clients_most());
         let (open, last, freed) = (RefCell::default(), Cell::new(0), Notify::new());
-        Rc::new(Self { hub, open, last, most, freed })
+        Rc::new(Self { hub, open, last, most, evicted: Cell::new(0), freed })
     }
 
     /// Does another process take what comes?
@@ -73,7 +91,7 @@
 
     /// Waits until there may be one more connection; one that is of little use makes room.
     pub async fn room(&self) {
-        while self.count() >= self.most.get() && !self.evict() {
+        while self.count() - self.evicted.get() >= self.most.get() && !self.evict() {
             self.freed.notified().await;
         }
     }
@@ -83,17 +101,34 @@
         let sock = Sock::of_client(stream).ok()?;
         let number = self.last.get() + 1;
         self.last.set(number);
-        let client = Rc::new(Client { sock, close: Notify::new() });
+        let client = Rc::new(Client { sock, close: Notify::new(), evicted: Cell::new(false) });
         self.open.borrow_mut().insert(number, client.clone());
         Some((number, client))
     }
 
     /// A connection has ended.
     pub fn left(&self, number: u64) {
-        self.open.borrow_mut().remove(&number);
+        if let Some(client) = self.open.borrow_mut().remove(&number) {
+            client.evicted(false, &self.evicted);
+        }
         self.freed.notify_one();
     }
 
+    /// A connection that was to be closed: is it, now that all has been read of it that was there? A request that came
+    /// between the decision and now has been taken, or is about to be, and is owed its answer; and to close over unread
+    /// bytes is a reset.
+    pub fn closes(&self, client: &Client) -> bool {
+        let closes = match client.sock.phase().0 {
+            Phase::Idle | Phase::Reading => client.sock.quiet(),
+            Phase::Busy => false,
+            Phase::Answering => client.answer_is_stuck(),
+        };
+        if !closes {
+            client.evicted(false, &self.evicted);
+        }
+        closes
+    }
+
     /// Closes connections that say nothing, on which a request takes too long to come, or whose answer is not read.
     pub fn sweep(&self) {
         for client in self.open.borrow().values() {
@@ -107,7 +142,7 @@
                 }
                 Phase::Reading => client.sock.overdue(),
                 Phase::Busy => false,
-                Phase::Answering => client.sock.moved().max(since).elapsed() >= ANSWERING,
+                Phase::Answering => client.answer_is_stuck(),
             };
             if over {
                 client.close.notify_one();
@@ -132,6 +167,10 @@
     /// servers that would tie up all connections of a stopping node. It does harm where another node would have served
     /// those few, so it holds only while this one stops.
     pub fn all_in_use(&self) -> bool {
+        // What is read from then on would be failed at once, or lost with the process: there is time for a refusal.
+        if self.hub.failing.get() {
+            return true;
+        }
         if self.hub.leaving.get() || self.hub.stopping.get().is_none_or(|since| since.elapsed() < STILL_DEALT)
         {
             return false;
@@ -158,7 +197,7 @@
     /// Closes one connection, those first that never said a word, then the one that has been idle for longest, then
     /// the one whose request has been coming for longest; false where all are busy.
     pub fn evict(&self) -> bool {
-        let (number, client) = {
+        let client = {
             let open = self.open.borrow();
             let rank = |c: &Client| match c.sock.phase() {
                 (Phase::Idle, since) if c.sock.quiet() => {
@@ -169,14 +208,13 @@
                 (Phase::Reading, since) if since.elapsed() >= STALE => Some((2, since)),
                 _ => None,
             };
-            let least = open.iter().filter_map(|(n, c)| Some((rank(c)?, *n))).min();
-            let Some((_, number)) = least else { return false };
-            (number, open.get(&number).cloned())
+            let some = open.values().filter(|c| !c.evicted.get());
+            let least = some.filter_map(|c| Some((rank(c)?, c))).min_by_key(|(rank, _)| *rank);
+            let Some((_, client)) = least else { return false };
+            client.clone()
         };
-        if let Some(client) = client {
-            client.close.notify_one();
-        }
-        self.open.borrow_mut().remove(&number);
+        client.evicted(true, &self.evicted);
+        client.close.notify_one();
         true
     }
 }
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -30,6 +30,8 @@
     fn start(&self, attempt: AttemptId, server: ServerId, end: Instant, call: Rc<Call>);
     /// Gives an attempt up, and reports its end before it returns.
     fn abandon(&self, attempt: AttemptId);
+    /// Is it out, with its last byte still here? Then no server has begun with it.
+    fn unsent(&self, attempt: AttemptId) -> bool;
     /// Probes a server; [`Hub::probed`] is owed for it.
     fn probe(&self, server: ServerId);
     /// Connections to a server are of no more use: it moved, restarted or is gone.
@@ -299,6 +301,8 @@
                     outside.start(attempt, server, self.clock.instant(end), payload);
                 }
                 Output::Abandon(attempt) => outside.abandon(attempt),
+                Output::Recall(attempt) if outside.unsent(attempt) => outside.abandon(attempt),
+                Output::Recall(_) => {}
                 Output::Subscribe => {
                     self.trace(|_| Doing::Call);
                     outside.subscribe();
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -87,6 +87,10 @@
         let _ = self.http1.abandon(attempt) || self.msgpack.abandon(attempt);
     }
 
+    fn unsent(&self, attempt: AttemptId) -> bool {
+        self.http1.unsent(attempt) || self.msgpack.unsent(attempt)
+    }
+
     fn probe(&self, server: ServerId) {
         match self.hub.place(server).map(|place| place.dial.protocol) {
             Some(Protocol::Msgpack) => self.msgpack.probe(server),
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -11,6 +11,7 @@
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 
 use crate::blocks::Uptake;
@@ -152,6 +153,8 @@
     uptake: RefCell<Option<Rc<Uptake>>>,
     /// What came of the present request, from its first byte on; `None` where that is not known.
     head: RefCell<Option<Vec<u8>>>,
+    /// An answer is owed that is not there yet.
+    owes: Cell<bool>,
 }
 
 impl Sock {
@@ -193,6 +196,7 @@
             moved: Cell::new(now),
             uptake: RefCell::default(),
             head: RefCell::default(),
+            owes: Cell::new(false),
         }))
     }
 
@@ -325,6 +329,30 @@
         matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// An answer is owed from now on, or not any more.
+    pub fn owe(&self, owes: bool) {
+        self.owes.set(owes);
+    }
+
+    /// Waits until the other side has closed, or broken the connection. The kernel tells that also where bytes ahead of it
+    /// have not been read, as nobody wants them yet: whoever reads would learn of it only behind them.
+    pub async fn closed(&self) {
+        // Of what may be waited for, this is the end of what the other side sends, and urgent data.
+        while let Ok(ready) = self.stream.ready(Interest::PRIORITY).await {
+            if ready.is_read_closed() {
+                return;
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Waits until the other side has closed while an answer is owed to it. Must be polled with whatever serves the
+    /// connection, and after it.
+    pub async fn deserted(&self) {
+        self.closed().await;
+        std::future::poll_fn(|_| if self.owes.get() { Poll::Ready(()) } else { Poll::Pending }).await;
+    }
+
     /// The first byte that can be read, which stays to be read; `None` where the other side has closed.
     pub async fn peek(&self) -> Option<u8> {
         let mut byte = [0];
--- /dev/null
+++ b/crates/node/tests/endings.rs
@@ -0,0 +1,259 @@
+//! Rare moments at which something is still owed, or nothing any more: each test forces the bad order.
+
+mod peers;
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+use glenwood_msgpack_rpc::client::Connection;
+use glenwood_msgpack_rpc::frame::Bounds;
+use glenwood_msgpack_rpc::message::Call;
+use peers::*;
+use serde_json::{json, Value};
+
+/// An operator's file with these words, which lies as long as the process runs.
+fn operator(name: &str, words: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}.toml", std::process::id()));
+    std::fs::write(&path, words).expect("a file");
+    path
+}
+
+const TRACE: &str = "[trace]\non = true\n";
+
+/// A node that writes down what it takes.
+fn traced(name: &str, config: &Value, more: &str) -> Node {
+    let operator = operator(name, &format!("{TRACE}{more}"));
+    let node = Node::started_with_operator(config, &operator).wait_listening();
+    node.wait_ready();
+    node
+}
+
+/// Settings under which a connection may come up late, and whoever waits for it is not given up on.
+fn patient(discovery: SocketAddr, cancel: bool) -> Value {
+    let mut config = config(discovery);
+    let settings = &mut config["settings"];
+    settings["Limits"]["Cancel"] = json!(cancel);
+    settings["Limits"]["ConnectTimeout"] = json!(50_000.0);
+    for class in settings["Classes"].as_array_mut().expect("classes") {
+        class["Slo"] = json!(60_000.0);
+        class["Deadline"] = json!(60_000.0);
+    }
+    config
+}
+
+fn taken(node: &Node, count: usize) {
+    until("all are taken", || node.log_lines(" ask ") == count);
+}
+
+/// The node has no connection to that client any more.
+fn dropped(node: SocketAddr, client: SocketAddr) {
+    until("the node sees that its client left", || sockets(Some(node), Some(client)) == 0);
+}
+
+/// Opens the server, waits until no connection of the node's is on its way there, and has it serve one more request.
+/// Gives the ids of all that came.
+fn all_that_comes(node: &Node, shut: Shut) -> Vec<String> {
+    let address = shut.address;
+    let server = shut.open(|_| Say::This(answer(200, "", "served")));
+    until("nobody waits for it", || sockets(None, Some(address)) == 0 || !server.seen().is_empty());
+    assert_eq!(Client::to(node).ask(&request("look", "last", 30_000)).status(), 200);
+    server.seen().iter().map(|m| m.header("x-txn").unwrap_or_default().to_string()).collect()
+}
+
+/// Over HTTP: 204 requests, some of which have their turn and wait for a connection that is coming up, while the others wait
+/// for a turn; their clients leave. None of them is sent, in whatever way its client left, and whether or not attempts may
+/// be cancelled: what was never sent can be.
+#[test]
+fn whoever_left_while_it_waited_is_not_sent_on() {
+    for (how, cancel) in Leaving::ALL.into_iter().flat_map(|how| [(how, false), (how, true)]) {
+        let shut = Shut::new();
+        let registry = Registry::new(&[host("s0", shut.address, "active", 1)]);
+        let node = traced("left", &patient(registry.address, cancel), "");
+        let classes = ["look", "pay", "slip"].into_iter().cycle();
+        let clients: Vec<Client> = classes
+            .take(34)
+            .enumerate()
+            .map(|(n, class)| {
+                let mut client = Client::to(&node);
+                client.send(&request(class, &format!("t{n}"), 40_000));
+                client
+            })
+            .collect();
+        taken(&node, 34);
+        until("some have their turn", || shut.waiting() > 3);
+        let addresses: Vec<SocketAddr> = clients.iter().map(Client::address).collect();
+        let _kept: Vec<_> = clients.into_iter().map(|client| how.by(client.stream())).collect();
+        addresses.into_iter().for_each(|client| dropped(node.address, client));
+        assert_eq!(all_that_comes(&node, shut), ["last"], "{how:?}, attempts may be cancelled: {cancel}");
+    }
+}
+
+/// The same over MessagePack-RPC, with 36 calls on one connection each time, to servers of either protocol.
+#[test]
+fn whoever_left_while_it_waited_is_not_sent_on_over_msgpack_rpc() {
+    for (how, marked) in Leaving::ALL.into_iter().flat_map(|how| [(how, false), (how, true)]) {
+        let shut = Shut::new();
+        let mut listed = host("s0", shut.address, "active", 1);
+        if marked {
+            listed["dial"] = json!(format!("msgpack-rpc://{}", shut.address));
+        }
+        let registry = Registry::new(&[listed]);
+        let rpc = "[msgpack]\nlisten = '127.0.0.1:0'\nopen_calls = 36\n";
+        let node = traced("left-rpc", &patient(registry.address, false), rpc);
+        let at: SocketAddr = node.said("takes MessagePack-RPC at ").parse().expect("an address");
+        let mut stream = TcpStream::connect(at).expect("the node listens");
+        let client = stream.local_addr().expect("bound");
+        stream.write_all(&calls(36)).expect("the node reads");
+        taken(&node, 36);
+        until("some have their turn", || shut.waiting() > 0);
+        let _kept = how.by(stream);
+        dropped(at, client);
+        if marked {
+            // A connection stays on its way there, with no call on it: what comes first is none of theirs.
+            let address = shut.address;
+            let server = peer_of_calls(shut);
+            assert_eq!(Client::to(&node).ask(&request("look", "last", 30_000)).status(), 200);
+            assert_eq!(*server.lock().expect("no panic"), ["last"], "{how:?}");
+            until("one connection is enough", || sockets(None, Some(address)) <= 1);
+        } else {
+            assert_eq!(all_that_comes(&node, shut), ["last"], "{how:?}");
+        }
+    }
+}
+
+/// So many calls as they go over the wire.
+fn calls(count: usize) -> Vec<u8> {
+    let mut machine = Connection::new(count, Bounds::default());
+    for n in 0..count {
+        let class = ["look", "pay", "slip"][n % 3].to_string();
+        let call = Call {
+            class,
+            txn: Some(format!("t{n}")),
+            key: Some(format!("k{n}")),
+            remaining_ms: Some(40_000),
+            ..Call::default()
+        };
+        machine.call(n, &call).expect("it fits");
+    }
+    machine.output().flatten().copied().collect()
+}
+
+/// A server of MessagePack-RPC that serves all, and says whom.
+fn peer_of_calls(shut: Shut) -> Arc<std::sync::Mutex<Vec<String>>> {
+    use glenwood_msgpack_rpc::server;
+    use std::io::Read;
+    let seen = Arc::new(std::sync::Mutex::new(Vec::new()));
+    let (all, listener) = (seen.clone(), shut.into_listener());
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let all = all.clone();
+            std::thread::spawn(move || {
+                let mut machine = server::Connection::new(server::Limits::default());
+                let mut chunk = [0; 4096];
+                while let Ok(n @ 1..) = stream.read(&mut chunk) {
+                    machine.received(&chunk[..n]);
+                    while let Some(event) = machine.poll() {
+                        let server::Event::Call { id, call } = event else { continue };
+                        all.lock().expect("no panic").push(call.txn.unwrap_or_default());
+                        machine.answer(id, &Ok(bytes::Bytes::from_static(b"served")));
+                    }
+                    let out = machine.output().to_vec();
+                    machine.wrote(out.len());
+                    if stream.write_all(&out).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    seen
+}
+
+/// What stands behind a request that is being served, a whole one or a part of one, must not hide that the client left: it
+/// is seen while the first is out, and the second is never sent.
+#[test]
+fn a_request_behind_another_does_not_hide_that_its_client_left() {
+    for (how, cancel, whole) in Leaving::ALL
+        .into_iter()
+        .flat_map(|how| [(how, false), (how, true)])
+        .flat_map(|(how, cancel)| [(how, cancel, false), (how, cancel, true)])
+    {
+        let gate = Arc::new(AtomicBool::new(false));
+        let opened = gate.clone();
+        let server = Peer::new(move |message| {
+            if message.header("x-txn") == Some("first") {
+                until("the gate opens", || opened.load(Ordering::SeqCst));
+            }
+            Say::This(answer(200, "", "served"))
+        });
+        let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+        let node = Node::ready(&patient(registry.address, cancel));
+        let mut client = Client::to(&node);
+        let second = request("slip", "second", 40_000);
+        let behind = if whole { &second[..] } else { &second[..second.len() / 2] };
+        client.send(&format!("{}{behind}", request("look", "first", 40_000)));
+        until("the first is out", || server.seen().len() == 1);
+        let address = client.address();
+        let _kept = how.by(client.stream());
+        dropped(node.address, address);
+        gate.store(true, Ordering::SeqCst);
+        assert_eq!(Client::to(&node).ask(&request("look", "last", 30_000)).status(), 200);
+        let ids: Vec<String> =
+            server.seen().iter().filter_map(|m| m.header("x-txn").map(str::to_string)).collect();
+        assert_eq!(ids, ["first", "last"], "{how:?}, may be cancelled: {cancel}, whole: {whole}");
+    }
+}
+
+/// A body that is too long to be held goes on while it comes. Its client leaves while what came of it waits for a connection,
+/// and the rest stands unread in front of the end.
+#[test]
+fn a_body_that_waits_half_read_does_not_hide_that_its_client_left() {
+    for how in Leaving::ALL {
+        let shut = Shut::new();
+        let registry = Registry::new(&[host("s0", shut.address, "active", 1)]);
+        let mut config = patient(registry.address, false);
+        // A quarter of it may be taken by bodies.
+        config["limits"]["memory_mb"] = json!(8);
+        let node = traced("body", &config, "");
+        let client = Client::to(&node);
+        let address = client.address();
+        let mut stream = client.stream();
+        let head = request("slip", "long", 40_000).replace("Content-Length: 4", "Content-Length: 6000000");
+        stream.write_all(head.as_bytes()).expect("the node reads");
+        // More than is read before anybody wants it, and less than the kernel holds: what it can't hold would keep the end
+        // of it at the client.
+        stream.write_all(&[b'x'; 60_000]).expect("the node reads");
+        taken(&node, 1);
+        until("it has its turn", || shut.waiting() == 1);
+        let _kept = how.by(stream);
+        dropped(node.address, address);
+        assert_eq!(all_that_comes(&node, shut), ["last"], "{how:?}");
+    }
+}
+
+/// When a stopping node fails what is still open it takes nothing more: a request that becomes whole then is refused at
+/// once, which tells its client that it may try elsewhere, and reaches no server.
+#[test]
+fn what_comes_when_a_stopping_node_fails_the_rest_is_refused() {
+    let server = Peer::new(|_| Say::Nothing);
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let mut node = Node::ready(&config(registry.address));
+    let (mut open, mut late) = (Client::to(&node), Client::to(&node));
+    open.send(&request("slip", "open", 25_000));
+    until("the attempt is out", || server.seen().len() == 1);
+    node.terminate();
+    node.wait_said("stops");
+    // It has its time to come whole, which begins after the node was told to stop.
+    std::thread::sleep(std::time::Duration::from_millis(1500));
+    let words = request("slip", "late", 25_000);
+    let (first, rest) = words.split_at(words.len() - 1);
+    late.send(first);
+    assert_eq!(open.hear().expect("an answer").status(), 502);
+    let refused = late.ask(rest);
+    assert_eq!((refused.status(), refused.header("connection")), (503, Some("close")));
+    assert_eq!(node.exit_code(), Some(0));
+    assert_eq!(server.seen().len(), 1, "{:?}", server.seen());
+}
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -189,15 +189,8 @@
 /// A send that waits for its connection is not written to a server that drains meanwhile.
 #[test]
 fn a_drain_reaches_sends_that_wait_for_a_connection() {
-    // A listener whose backlog is full lets nobody in until it accepts.
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().expect("an address").into()).expect("a port");
-    socket.listen(0).expect("it listens");
-    let full: TcpListener = socket.into();
-    let at_full = full.local_addr().expect("bound");
-    let fillers: Vec<_> = (0..3)
-        .filter_map(|_| std::net::TcpStream::connect_timeout(&at_full, Duration::from_millis(300)).ok())
-        .collect();
+    let shut = Shut::new();
+    let at_full = shut.address;
     let registry = Registry::new(&[host("s0", at_full, "active", 1)]);
     let mut config = config(registry.address);
     config["settings"]["Limits"]["ConnectTimeout"] = json!(50_000.0);
@@ -213,8 +206,7 @@
     registry.tell(2, &hosts, &[host("s0", at_full, "left", 1), hosts[0].clone()]);
     // Known once others are served by the new one.
     until("the list is known", || Client::to(&node).ask(&request("look", "t2", 500)).status() == 200);
-    drop(fillers);
-    let late = Peer::on(full, |_| Say::This(answer(200, "", "late")));
+    let late = shut.open(|_| Say::This(answer(200, "", "late")));
     assert_eq!(client.hear().expect("an answer").body, b"good");
     assert!(late.seen().is_empty(), "{:?}", late.seen());
 }
--- a/crates/node/tests/peers/mod.rs
+++ b/crates/node/tests/peers/mod.rs
@@ -518,6 +518,91 @@
     )
 }
 
+/// How a client leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Leaving {
+    /// It closes its connection.
+    Closes,
+    /// It says that it will send no more, and keeps its side open.
+    SaysEnd,
+    /// It breaks the connection.
+    Resets,
+}
+
+impl Leaving {
+    pub const ALL: [Self; 3] = [Self::Closes, Self::SaysEnd, Self::Resets];
+
+    /// Leaves; what is given back is to be kept for as long as the client is to be seen as one that left in this way.
+    pub fn by(self, stream: TcpStream) -> Option<TcpStream> {
+        match self {
+            Self::Closes => None,
+            Self::SaysEnd => {
+                stream.shutdown(std::net::Shutdown::Write).expect("it stands");
+                Some(stream)
+            }
+            Self::Resets => {
+                socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("a socket");
+                None
+            }
+        }
+    }
+}
+
+/// The sockets of this machine that are connected from one address to another, or are about to be, where either is given. A
+/// side that has closed does not count; one whose other side has does.
+pub fn sockets(from: Option<SocketAddr>, to: Option<SocketAddr>) -> usize {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("a table of sockets");
+    let address = |text: &str| {
+        let (ip, port) = text.split_once(':').expect("an address");
+        let ip = u32::from_str_radix(ip, 16).expect("hex").to_le_bytes();
+        SocketAddr::from((ip, u16::from_str_radix(port, 16).expect("hex")))
+    };
+    let is = |wanted: Option<SocketAddr>, text: &str| wanted.is_none_or(|wanted| wanted == address(text));
+    let counts = |line: &&str| {
+        let words: Vec<&str> = line.split_ascii_whitespace().collect();
+        // Established, being opened, or closed by the other side alone.
+        is(from, words[1]) && is(to, words[2]) && ["01", "02", "08"].contains(&words[3])
+    };
+    table.lines().skip(1).filter(counts).count()
+}
+
+/// A server whose machine lets nobody in yet: connections to it come up once it opens.
+pub struct Shut {
+    listener: TcpListener,
+    pub address: SocketAddr,
+    fillers: Vec<TcpStream>,
+}
+
+impl Shut {
+    pub fn new() -> Self {
+        // A listener whose backlog is full lets nobody in until it accepts.
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+        socket.bind(&any.into()).expect("a port");
+        socket.listen(0).expect("it listens");
+        let listener: TcpListener = socket.into();
+        let address = listener.local_addr().expect("bound");
+        let fill = |_| TcpStream::connect_timeout(&address, Duration::from_millis(300)).ok();
+        Self { listener, address, fillers: (0..3).filter_map(fill).collect() }
+    }
+
+    /// How many connections of others are on their way in.
+    pub fn waiting(&self) -> usize {
+        sockets(None, Some(self.address)) - self.fillers.len()
+    }
+
+    pub fn open(self, script: impl Fn(&Message) -> Say + Send + Sync + 'static) -> Peer {
+        Peer::on(self.into_listener(), script)
+    }
+
+    /// Lets all in from now on that are accepted.
+    pub fn into_listener(self) -> TcpListener {
+        drop(self.fillers);
+        self.listener
+    }
+}
+
 pub struct Client {
     out: TcpStream,
     from: BufReader<TcpStream>,
@@ -539,6 +624,16 @@
         self.out.write_all(words.as_bytes()).expect("the node reads");
     }
 
+    /// Where it is, as the node sees it.
+    pub fn address(&self) -> SocketAddr {
+        self.out.local_addr().expect("bound")
+    }
+
+    /// The connection itself.
+    pub fn stream(self) -> TcpStream {
+        self.out
+    }
+
     /// The next answer; `None` where the connection ends first.
     pub fn hear(&mut self) -> Option<Message> {
         read_message(&mut self.from, 0)
--- a/crates/testkit/tests/storm.rs
+++ b/crates/testkit/tests/storm.rs
@@ -233,6 +233,8 @@
                     self.under_way.retain(|(_, other, _)| *other != attempt);
                     self.core.attempt_ended(now, attempt, Ended::Without(Outcome::Cancelled));
                 }
+                // A server here begins with the first byte.
+                Output::Recall(_) => {}
                 Output::Probe(server) => {
                     let well = alive.contains(&server.0);
                     let outcome = if well { Outcome::Done } else { Outcome::ConnectFailed };
