Lists: bounded as a whole, indented ones are read, and a silent watch is opened in time

Causes: - node/discovery.rs: the time-out began anew with each piece. A whole list that came byte by byte, or a watch that brought bytes and never a message, held the node for ever. Now the whole list is due as a whole, and a watch's next message 3.2 s after the last; bytes are no sign of life. - node/discovery.rs, Lines: a watch was cut at newlines before it was parsed, so an indented list was never read and asked for over and over. list/lines.rs follows the objects; a sign of life or another object within one means that it was broken off, and the whole list is asked for. - policy/balance.rs, on_list_failed: a watch that fell silent was opened anew after a pause that grows with the fleet, up to 8.5 s, while what it missed counts as told 6 s after its silence. The pause stays within what is left of that (1.8 s after 3.2 s of silence); calls that fail are spread as before.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -434,8 +434,9 @@
     }
 
     /// Asking failed, with the answer begun or not, or the subscription dropped.
-    pub fn list_failed(&mut self, now: Millis, answering: bool) {
-        self.feed(now, Event::ListFailed { answering });
+    /// What was missed counts as told after `told_in`, where that is known.
+    pub fn list_failed(&mut self, now: Millis, answering: bool, told_in: Option<Millis>) {
+        self.feed(now, Event::ListFailed { answering, told_in });
     }
 
     /// Discovery is elsewhere from now on.
--- a/crates/list/src/lib.rs
+++ b/crates/list/src/lib.rs
@@ -1,11 +1,13 @@
 //! The list of servers: its entries, as discovery and registrations write them, and one list out of both. No I/O.
 //!
 //! - [`entry`] holds one entry and a line of entries.
+//! - [`lines`] cuts what a watch brings into messages.
 //! - [`merge`] makes one list of what two sources say.
 //! - [`succession`] says which lists may follow on which.
 #![warn(missing_docs)]
 
 pub mod entry;
+pub mod lines;
 pub mod merge;
 pub mod succession;
 
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -2,40 +2,50 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use glenwood_list::lines::{self, Lines, Message, Spoilt};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, Response, StatusCode};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 
 use crate::hub::Hub;
 use crate::list::{self, Update};
 use crate::sock::{Io, Sock};
 
-/// The longest line that is taken.
-const LINE_MOST: usize = 4 << 20;
 /// How long a connection may take.
 const CONNECT: Duration = Duration::from_millis(1000);
-/// How long a call may wait in the service's queue. The service itself fails calls after 3 s; with no answer at all
+/// How long a call may wait in the service's queue until its answer is whole, or a watch says its first word. The service itself fails calls after 3 s; with no answer at all
 /// there must be time for another call before news counts as told, 4 s after a reload.
 const FIRST: Duration = Duration::from_millis(3400);
-/// A watch brings a line every 2 s: a longer silence is a dead link, which TCP alone would not notice.
+/// A watch brings a message every 2 s: a longer silence is a dead link, which TCP alone would not notice.
 const SILENCE: Duration = Duration::from_millis(3200);
+/// From the silence of a watch on what it misses counts as told after 6 s, however many nodes there are. This is what is left
+/// to ask anew, less a second for the answer.
+const ASK_ANEW: Duration = Duration::from_millis(6000 - 3200 - 1000);
 
 /// Why a call ended.
 enum Ended {
     /// It failed, or a watch that stood broke.
     Broken(String),
+    /// A watch that stood fell silent.
+    Silent,
     /// The answer, or a line of the watch, had begun and was cut off.
     Cut(String),
     /// It brought what can't be read or can't be so; the whole list is needed.
     Unreadable(String),
 }
 
+impl From<Spoilt> for Ended {
+    fn from(spoilt: Spoilt) -> Self {
+        Self::Unreadable(spoilt.to_string())
+    }
+}
+
 impl From<hyper::Error> for Ended {
     fn from(error: hyper::Error) -> Self {
         Self::Broken(error.to_string())
@@ -48,13 +58,16 @@
     let (words, answering) = match watch(&hub, service).await {
         Ok(()) => ("the watch ended".to_string(), false),
         Err(Ended::Broken(words)) => (words, false),
+        Err(Ended::Silent) => {
+            return hub.discovery_failed("silent watch", false, Some(ASK_ANEW));
+        }
         Err(Ended::Cut(words)) => (format!("an answer was cut off: {words}"), true),
         Err(Ended::Unreadable(words)) => {
             hub.forget_version();
             (format!("a line is not taken: {words}"), true)
         }
     };
-    hub.discovery_failed(&words, answering);
+    hub.discovery_failed(&words, answering, None);
 }
 
 async fn watch(hub: &Rc<Hub>, service: SocketAddr) -> Result<(), Ended> {
@@ -64,12 +77,14 @@
     };
     let mut body = call(service, &format!("/v1/endpoints?watch=1&from={version}")).await?;
     let mut lines = Lines::default();
-    let (mut wait, mut answered) = (FIRST, false);
+    let (mut due, mut answered) = (body.due, false);
     loop {
-        let frame = timeout(wait, body.answer.frame()).await;
-        let frame = frame.map_err(|_| Ended::Broken("silent watch".into()))?.transpose();
-        // Between two lines a watch may end at any time; within one it was about to tell something.
-        let whole = answered && lines.held.is_empty();
+        // Bytes alone are no sign of life: what trickles and never makes a message tells as little as silence.
+        let frame = timeout_at(due.into(), body.answer.frame()).await;
+        let silent = || if answered { Ended::Silent } else { Ended::Broken("silent watch".into()) };
+        let frame = frame.map_err(|_| silent())?.transpose();
+        // Between two messages a watch may end at any time; within one it was about to tell something.
+        let whole = answered && !lines.amid();
         let frame = match frame {
             Ok(Some(frame)) => frame,
             Ok(None) if whole => return Ok(()),
@@ -77,15 +92,13 @@
             Err(error) if whole => return Err(error.into()),
             Err(error) => return Err(Ended::Cut(error.to_string())),
         };
-        wait = SILENCE;
         let Ok(data) = frame.into_data() else { continue };
         lines.push(&data)?;
-        while let Some(line) = lines.next() {
-            answered = true;
-            if line.is_empty() {
-                hub.discovery_alive();
-            } else {
-                hub.listed(read(&line)?).map_err(Ended::Unreadable)?;
+        while let Some(message) = lines.next_message()? {
+            (due, answered) = (Instant::now() + SILENCE, true);
+            match message {
+                Message::Alive => hub.discovery_alive(),
+                Message::Object(text) => hub.listed(read(&text)?).map_err(Ended::Unreadable)?,
             }
         }
     }
@@ -94,29 +107,35 @@
 /// Asks for the whole list once.
 async fn whole(hub: &Rc<Hub>, service: SocketAddr) -> Result<u64, Ended> {
     let mut body = call(service, "/v1/endpoints").await?;
-    let mut text = Lines::default();
+    let mut text = Vec::new();
     loop {
-        let frame = timeout(FIRST, body.answer.frame()).await;
-        let Some(frame) = frame.map_err(|_| Ended::Broken("silent list".into()))? else { break };
+        // The answer is due as a whole: a piece now and then must not keep the node from asking anew.
+        let frame = timeout_at(body.due.into(), body.answer.frame()).await;
+        let Some(frame) = frame.map_err(|_| Ended::Cut("it is not whole in time".into()))? else { break };
         if let Ok(data) = frame.map_err(|e| Ended::Cut(e.to_string()))?.into_data() {
-            text.push(&data)?;
+            if text.len() + data.len() > lines::MOST {
+                return Err(Spoilt::TooLong.into());
+            }
+            text.extend_from_slice(&data);
         }
     }
-    let update = read(&text.held)?;
+    let update = read(&text)?;
     let version = update.version;
     hub.listed(update).map_err(Ended::Unreadable)?;
     Ok(version)
 }
 
-fn read(line: &[u8]) -> Result<Update, Ended> {
+fn read(text: &[u8]) -> Result<Update, Ended> {
     let bad = |words: String| Ended::Unreadable(format!("unreadable: {words}"));
-    let value = serde_json::from_slice(line).map_err(|e| bad(e.to_string()))?;
+    let value = serde_json::from_slice(text).map_err(|e| bad(e.to_string()))?;
     list::update(value).map_err(bad)
 }
 
 /// A call's answer; the connection ends with it.
 struct Call {
     answer: Incoming,
+    /// By when the whole list is due, or a watch's first message.
+    due: Instant,
     driver: tokio::task::JoinHandle<()>,
 }
 
@@ -137,37 +156,12 @@
     });
     let request = Request::get(path).header("host", to.to_string()).body(Empty::<Bytes>::new());
     let request = request.map_err(|e| broken(&e.to_string()))?;
-    let answer = timeout(FIRST, send.send_request(request)).await;
+    let due = Instant::now() + FIRST;
+    let answer = timeout_at(due.into(), send.send_request(request)).await;
     let answer: Response<Incoming> = answer.map_err(|_| broken("no answer"))??;
     if answer.status() != StatusCode::OK {
         driver.abort();
         return Err(Ended::Broken(format!("status {}", answer.status())));
     }
-    Ok(Call { answer: answer.into_body(), driver })
-}
-
-/// Cuts a stream into lines.
-#[derive(Default)]
-struct Lines {
-    held: Vec<u8>,
-}
-
-impl Lines {
-    fn push(&mut self, data: &[u8]) -> Result<(), Ended> {
-        if self.held.len() + data.len() > LINE_MOST {
-            return Err(Ended::Unreadable("longer than a line may be".into()));
-        }
-        self.held.extend_from_slice(data);
-        Ok(())
-    }
-
-    fn next(&mut self) -> Option<Vec<u8>> {
-        let end = self.held.iter().position(|b| *b == b'\n')?;
-        let rest = self.held.split_off(end + 1);
-        let mut line = std::mem::replace(&mut self.held, rest);
-        while line.last().is_some_and(u8::is_ascii_whitespace) {
-            line.pop();
-        }
-        Some(line)
-    }
+    Ok(Call { answer: answer.into_body(), due, driver })
 }
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -593,13 +593,14 @@
 
     /// The call to discovery failed, or its watch ended. The same words again are not logged until it has been heard: an
     /// agent that is down for hours is asked three times a second.
-    pub fn discovery_failed(&self, words: &str, answering: bool) {
+    pub fn discovery_failed(&self, words: &str, answering: bool, told_in: Option<Duration>) {
         if self.discovery_words.borrow().as_str() != words {
             log::line(format!("discovery: {words}"));
             *self.discovery_words.borrow_mut() = words.to_string();
         }
         self.trace(|_| Doing::CallFailed);
-        self.tell(|core, now| core.list_failed(now, answering));
+        let told_in = told_in.map(|span| span.as_secs_f64() * 1000.0);
+        self.tell(|core, now| core.list_failed(now, answering, told_in));
     }
 
     /// The watch stands, with no news.
--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -2,11 +2,12 @@
 
 mod peers;
 
-use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use glenwood_msgpack_rpc::client::Connection;
 use glenwood_msgpack_rpc::frame::Bounds;
@@ -142,10 +143,9 @@
 }
 
 /// A server of MessagePack-RPC that serves all, and says whom.
-fn peer_of_calls(shut: Shut) -> Arc<std::sync::Mutex<Vec<String>>> {
+fn peer_of_calls(shut: Shut) -> Arc<Mutex<Vec<String>>> {
     use glenwood_msgpack_rpc::server;
-    use std::io::Read;
-    let seen = Arc::new(std::sync::Mutex::new(Vec::new()));
+    let seen = Arc::new(Mutex::new(Vec::new()));
     let (all, listener) = (seen.clone(), shut.into_listener());
     std::thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
@@ -247,7 +247,7 @@
     node.terminate();
     node.wait_said("stops");
     // It has its time to come whole, which begins after the node was told to stop.
-    std::thread::sleep(std::time::Duration::from_millis(1500));
+    std::thread::sleep(Duration::from_millis(1500));
     let words = request("slip", "late", 25_000);
     let (first, rest) = words.split_at(words.len() - 1);
     late.send(first);
@@ -257,3 +257,162 @@
     assert_eq!(node.exit_code(), Some(0));
     assert_eq!(server.seen().len(), 1, "{:?}", server.seen());
 }
+
+/// A list service that does by hand what each test wants: what it is asked, and the connection for the answer.
+#[derive(Clone)]
+struct Lists {
+    address: SocketAddr,
+    /// The paths of all calls so far.
+    calls: Arc<Mutex<Vec<String>>>,
+}
+
+impl Lists {
+    /// `answers` is given the path, how many calls for the same thing came before, and the connection.
+    fn new(
+        answers: impl Fn(&str, usize, &mut TcpStream) -> std::io::Result<()> + Send + Sync + 'static,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let lists = Self { address: listener.local_addr().expect("bound"), calls: Arc::default() };
+        let (all, answers) = (lists.calls.clone(), Arc::new(answers));
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let (all, answers) = (all.clone(), answers.clone());
+                std::thread::spawn(move || {
+                    let mut head = Vec::new();
+                    let mut byte = [0];
+                    while !head.ends_with(b"\r\n\r\n") && matches!(stream.read(&mut byte), Ok(1)) {
+                        head.push(byte[0]);
+                    }
+                    let head = String::from_utf8(head).expect("text");
+                    let path = head.split(' ').nth(1).expect("a path").to_string();
+                    let watch = path.contains("watch");
+                    let before = {
+                        let mut all = all.lock().expect("no panic");
+                        all.push(path.clone());
+                        all.iter().filter(|other| other.contains("watch") == watch).count() - 1
+                    };
+                    // It ends when the node has had enough.
+                    let _ = answers(&path, before, &mut stream);
+                });
+            }
+        });
+        lists
+    }
+
+    fn watches(&self) -> usize {
+        self.calls.lock().expect("no panic").iter().filter(|path| path.contains("watch")).count()
+    }
+}
+
+const WATCH: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn chunk(to: &mut TcpStream, words: &str) -> std::io::Result<()> {
+    write!(to, "{:x}\r\n{words}\r\n", words.len())
+}
+
+/// Something now and then, until the node has had enough.
+fn trickle(to: &mut TcpStream, piece: impl Fn(&mut TcpStream) -> std::io::Result<()>) -> std::io::Result<()> {
+    loop {
+        std::thread::sleep(Duration::from_millis(100));
+        piece(to)?;
+    }
+}
+
+/// Says that nothing changes, until the node has had enough.
+fn stand(to: &mut TcpStream) -> std::io::Result<()> {
+    trickle(to, |to| chunk(to, "\n"))
+}
+
+/// The first one brings what can't be read, so that the whole list is asked for; later ones stand.
+fn watch_that_begins_spoilt(to: &mut TcpStream, before: usize) -> std::io::Result<()> {
+    to.write_all(WATCH)?;
+    if before == 0 {
+        return chunk(to, "spoilt\n");
+    }
+    stand(to)
+}
+
+fn pretty(line: &str) -> String {
+    let value: Value = serde_json::from_str(line).expect("JSON");
+    serde_json::to_string_pretty(&value).expect("JSON")
+}
+
+/// The answer to a call for the whole list comes byte by byte and never ends: the call is due as a whole.
+#[test]
+fn a_whole_list_that_trickles_is_asked_for_anew() {
+    let server = Peer::good("served");
+    let list = line(1, true, &[host("s0", server.address, "active", 1)]);
+    let lists = Lists::new(move |path, before, to| {
+        if path.contains("watch") {
+            return watch_that_begins_spoilt(to, before);
+        }
+        if before > 0 {
+            return to.write_all(&answer(200, "", &list));
+        }
+        to.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n")?;
+        trickle(to, |to| to.write_all(b" "))
+    });
+    let node = Node::ready(&config(lists.address));
+    until("the list has come", || Client::to(&node).ask(&request("look", "t1", 9000)).status() == 200);
+    assert_eq!(
+        lists.calls.lock().expect("no panic").iter().filter(|path| !path.contains("watch")).count(),
+        2
+    );
+}
+
+/// A watch brings bytes and never a message, from its opening on or behind a first one, between two or within one: bytes are
+/// no sign of life. It is opened anew within the 6 s after which what it misses counts as told.
+#[test]
+fn a_watch_that_trickles_is_opened_anew() {
+    for (first, piece) in [(false, " "), (true, " "), (true, "[")] {
+        let server = Peer::good("served");
+        let list = line(1, true, &[host("s0", server.address, "active", 1)]);
+        let last: Arc<Mutex<Option<Instant>>> = Arc::default();
+        let said = last.clone();
+        let lists = Lists::new(move |path, before, to| {
+            if !path.contains("watch") {
+                return to.write_all(&answer(200, "", &list));
+            }
+            to.write_all(WATCH)?;
+            if before > 0 {
+                return stand(to);
+            }
+            if first {
+                chunk(to, "\n")?;
+            }
+            *said.lock().expect("no panic") = Some(Instant::now());
+            trickle(to, |to| chunk(to, piece))
+        });
+        let _node = Node::ready(&config(lists.address));
+        until("the watch is opened anew", || lists.watches() > 1);
+        let since = last.lock().expect("no panic").expect("a watch").elapsed();
+        assert!(since < Duration::from_secs(6), "after {since:?}");
+    }
+}
+
+/// A list may be indented, in a whole answer and on a watch, and then one object goes over many lines.
+#[test]
+fn an_indented_list_is_read() {
+    let (a, b) = (Peer::good("a"), Peer::good("b"));
+    let entry = |name: &str, peer: &Peer, health: &str| host(name, peer.address, health, 1);
+    let whole = pretty(&line(1, true, &[entry("a", &a, "active")]));
+    let news = pretty(&line(2, false, &[entry("a", &a, "leaving"), entry("b", &b, "active")]));
+    let lists = Lists::new(move |path, before, to| {
+        if !path.contains("watch") {
+            return to.write_all(&answer(200, "", &whole));
+        }
+        if before == 0 {
+            return watch_that_begins_spoilt(to, before);
+        }
+        to.write_all(WATCH)?;
+        chunk(to, &format!("{whole}\n"))?;
+        // In two pieces, cut behind a line.
+        let (first, rest) = news.split_at(news.find('\n').expect("lines") + 1);
+        chunk(to, first)?;
+        chunk(to, &format!("{rest}\n"))?;
+        stand(to)
+    });
+    let node = Node::ready(&config(lists.address));
+    until("the news count", || Client::to(&node).ask(&request("look", "t1", 9000)).body == b"b");
+    assert_eq!((lists.watches(), node.log_lines("is not taken")), (2, 1));
+}
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -324,6 +324,9 @@
     ListFailed {
         /// Discovery had begun to answer this call, which nobody can read to its end: it is there, and not jammed.
         answering: bool,
+        /// How soon discovery has to have been asked anew, as what was missed counts as told then; `None` where only
+        /// the rules' time for asking counts.
+        told_in: Option<Millis>,
     },
     /// Discovery is elsewhere from now on: what was asked of it so far is void.
     DiscoveryMoved,
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -384,7 +384,7 @@
             Event::List { entries, saved } => self.on_list(entries, !saved, true),
             Event::ListChange(entries) => self.on_list(entries, true, false),
             Event::ListNews(entries) => self.on_list(entries, false, false),
-            Event::ListFailed { answering } => self.on_list_failed(answering),
+            Event::ListFailed { answering, told_in } => self.on_list_failed(answering, told_in),
             // Whatever backoff the old address had earned, the new one is asked at once.
             Event::DiscoveryMoved if self.set.discovery == Discovery::Asked => {
                 self.call = Call::AskAt(now, 0)
@@ -560,7 +560,7 @@
         self.choose_subset();
     }
 
-    fn on_list_failed(&mut self, answering: bool) {
+    fn on_list_failed(&mut self, answering: bool, told_in: Option<Millis>) {
         if self.set.discovery == Discovery::Pushed {
             return;
         }
@@ -569,7 +569,7 @@
         // longer as there are more nodes. After a spoilt answer, which counts as told soon, it asks at once.
         let (fleet, within) = (self.set.nodes as f64 * CALL_SPACE, self.set.rules.ask_within);
         let grown = within / 20.0 * f64::from(1u32 << (failures.min(8) - 1));
-        let jam = grown.max(fleet).min((0.4 * within).max(fleet));
+        let jam = grown.max(fleet).min((0.4 * within).max(fleet)).min(told_in.unwrap_or(f64::INFINITY));
         let span = if answering { (grown / 2.0).min(within / 10.0) } else { jam };
         // A node that has not asked for so long counts as told as well.
         let at = (self.now + span * self.random()).min(asked + 0.85 * within).max(self.now);
@@ -1263,7 +1263,7 @@
                 actions.push(Action::Subscribe);
             }
             // No answer at all: taken for a failure.
-            Call::Asked(at, _) if now - at >= self.set.rules.ask_within => self.on_list_failed(false),
+            Call::Asked(at, _) if now - at >= self.set.rules.ask_within => self.on_list_failed(false, None),
             _ => {}
         }
         let due = |s: &&Server| !s.probing && s.ejected.is_some_and(|at| now >= at);
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -319,7 +319,7 @@
                 }
                 self.calls[node] = None;
                 if fails {
-                    self.tell(node, Event::ListFailed { answering: false });
+                    self.tell(node, Event::ListFailed { answering: false, told_in: None });
                 } else {
                     self.told(node);
                 }
@@ -346,7 +346,7 @@
     fn break_watches(&mut self) {
         self.informed = vec![None; NODES];
         for node in 0..NODES {
-            self.tell(node, Event::ListFailed { answering: false });
+            self.tell(node, Event::ListFailed { answering: false, told_in: None });
         }
     }
 
@@ -480,7 +480,8 @@
             }
             let asked = node.now;
             node.now += waits;
-            called = node.event(Event::ListFailed { answering: answering && failure + 1 == failures });
+            called = node
+                .event(Event::ListFailed { answering: answering && failure + 1 == failures, told_in: None });
             if failure + 1 == failures {
                 while !called.contains(&Action::Subscribe) {
                     called = node.wait(5.0);
--- a/crates/policy/tests/properties.rs
+++ b/crates/policy/tests/properties.rs
@@ -154,7 +154,9 @@
                 let changed = Entry { state: *state, started, ..entry(*server as u64, 1.0) };
                 day.event(Event::ListChange(vec![changed]));
             }
-            Step::ListFailed(answering) => day.event(Event::ListFailed { answering: *answering }),
+            Step::ListFailed(answering) => {
+                day.event(Event::ListFailed { answering: *answering, told_in: None })
+            }
             Step::Leave(i) => {
                 if let Some(id) = day.open.keys().nth(i % day.open.len().max(1)).copied() {
                     day.open.remove(&id);
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -170,7 +170,7 @@
             "TOPOLOGY" => {
                 let form = text(at(2), "Form")?;
                 if form == "Error" {
-                    return Ok(Some(Event::ListFailed { answering: false }));
+                    return Ok(Some(Event::ListFailed { answering: false, told_in: None }));
                 }
                 let table = whole(at(3), "Table")?;
                 let entries =
