Custody: what its client left before it was sent is let go, not begun

Need: a request whose client has left while it waited is not sent on, at custody's gate too.

Cause: custody/mod.rs, nobody_waits: only a work that the core did not have yet was given up, so one that waited for a turn, a connection or its intent went on for nobody; and Event::Yours handed a work to the core also when all who asked had left. Now what no server has begun is let go, with its attempts written down as never sent, for whoever asks for it next. A lost node's work that is taken over goes on, as its client is expected at any node.

Test on six processes: the keepers are cut off, the client leaves, the cut heals: no send, and the next asking runs once.

--- a/crates/node/src/custody/mod.rs
+++ b/crates/node/src/custody/mod.rs
@@ -103,6 +103,8 @@
     request: Option<RequestId>,
     /// The core has had it here.
     mine: bool,
+    /// A lost node's, taken over with no client of it here.
+    adopted: bool,
     meant: VecDeque<Meant>,
     /// The numbers of attempts among those of all holders.
     numbers: HashMap<AttemptId, usize>,
@@ -407,7 +409,9 @@
     fn happened(&self, event: Event) {
         match event {
             Event::Yours { ticket, earlier, adopted } => {
-                let incoming = self.held.borrow_mut().get_mut(&ticket).and_then(|held| held.incoming.take());
+                // Whoever asked may have left while it was found out whose it is: then it is not begun.
+                let asked = |held: &mut Held| held.incoming.take().filter(|_| !held.waiting.is_empty());
+                let incoming = self.held.borrow_mut().get_mut(&ticket).and_then(asked);
                 match incoming {
                     Some(incoming) => {
                         let earlier = adopted.then(|| self.earlier(&earlier));
@@ -422,7 +426,8 @@
                 match self.read(&about, &body, remaining_ms) {
                     Some(incoming) => {
                         let name = about.class.clone();
-                        self.held.borrow_mut().insert(ticket, Held::new(incoming.class, name, None));
+                        let held = Held { adopted: true, ..Held::new(incoming.class, name, None) };
+                        self.held.borrow_mut().insert(ticket, held);
                         self.hand_over(ticket, Incoming { earlier: Some(earlier), ..incoming });
                     }
                     None => self.let_go(ticket),
@@ -684,16 +689,38 @@
         }
     }
 
-    /// Nobody waits by this ticket: what another node has is not looked at any more; what this one has goes on.
+    /// Nobody waits by this ticket, perhaps: what another node has is not looked at any more; what this one has sent goes on.
+    /// What it has not sent would be sent for nobody: it is let go, for whoever asks for it next.
     fn nobody_waits(&self, ticket: Ticket) {
-        let idle =
-            self.held.borrow().get(&ticket).is_some_and(|h| h.waiting.is_empty() && h.request.is_none());
-        if idle && !self.desk.borrow().holds(ticket) {
-            self.desk.borrow_mut().give_up(self.now(), ticket);
+        let (request, adopted) = match self.held.borrow().get(&ticket).filter(|h| h.waiting.is_empty()) {
+            Some(held) => (held.request, held.adopted),
+            None => return self.move_on(),
+        };
+        match request {
+            Some(request) if !adopted && self.unsent(ticket) => {
+                self.calls.borrow_mut().retain(|_, other| *other != ticket);
+                // Each attempt ends with it as never sent, which is written down.
+                self.hub.client_gone(request);
+                self.let_go(ticket);
+                self.drop_held(ticket);
+            }
+            None if !self.desk.borrow().holds(ticket) => {
+                self.desk.borrow_mut().give_up(self.now(), ticket);
+            }
+            _ => {}
         }
         self.move_on();
     }
 
+    /// Has no server begun with this work, for all that this node has sent?
+    fn unsent(&self, ticket: Ticket) -> bool {
+        let attempts: Vec<AttemptId> =
+            self.held.borrow().get(&ticket).into_iter().flat_map(|held| held.numbers.keys().copied()).collect();
+        let inner = self.inner.get();
+        let unsent = |a: &AttemptId| self.means(*a) || inner.is_some_and(|inner| inner.unsent(*a));
+        attempts.iter().all(unsent)
+    }
+
     // ---- Attempts ----
 
     /// An attempt is to be started: its intent is written first, where its request is guarded.
@@ -781,6 +808,7 @@
             waiting: Vec::new(),
             request: None,
             mine: false,
+            adopted: false,
             meant: VecDeque::new(),
             numbers: HashMap::new(),
         }
--- a/crates/node/tests/custody.rs
+++ b/crates/node/tests/custody.rs
@@ -1,5 +1,7 @@
 //! Work in hand survives the loss of its node: real processes, with faults between them.
 
+mod peers;
+
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -13,6 +15,7 @@
 use glenwood_testkit::rig::{very_many, Plan, Rig, MEMBERS};
 use glenwood_testkit::script::{Script, Step};
 use glenwood_testkit::{runtime, until};
+use peers::sockets;
 use serde_json::json;
 
 /// What a node logs before the address of the socket by which it asks keepers.
@@ -113,6 +116,32 @@
     assert_eq!(rig.ledger.runs_of_key("key-w2"), 1);
 }
 
+/// The client of a work leaves while its node asks whose the work is, and the keepers answer after that: it is not begun for
+/// nobody, and whoever asks for it next has it as new.
+#[test]
+fn a_work_whose_client_left_at_the_gate_is_not_begun() {
+    let mut plan = plan(6, 4, 6, slow(5));
+    let told = plan.operator;
+    // The node waits for its keepers for longer than the test needs.
+    plan.operator = Box::new(move |rig, n| told(rig, n).replace("patience_ms = 600", "patience_ms = 1000"));
+    let rig = started(plan, 6);
+    for (kind, make) in [("slip", slip as fn(&str, &str, bool) -> Ask), ("pay", pay)] {
+        let guarded = rig.figure(0, "custody_guarded").expect("a figure");
+        let [left, next] = ["left", "next"].map(|txn| format!("{kind}-{txn}"));
+        for (from, to) in [(vec![End::Node(0)], Vec::new()), (Vec::new(), vec![End::Node(0)])] {
+            rig.net.lay(Between { from, to, trouble: Trouble::Cut });
+        }
+        let first = ask(&rig, 0, make("w", &left, false));
+        until("it is at the gate", || rig.figure(0, "custody_guarded") == Some(guarded + 1));
+        first.abort();
+        until("its node sees that it left", || sockets(Some(rig.address(0)), None) == 0);
+        rig.net.heal();
+        let again = answer(ask(&rig, 1, make("w", &next, true)));
+        assert!(matches!(again, Answer::Served(_)), "{kind}: {again:?}");
+        assert_eq!((rig.ledger.of(&left).attempts, rig.ledger.runs_of_path(kind, "/w")), (0, 1), "{kind}");
+    }
+}
+
 #[test]
 fn a_repeat_joins_the_work_while_its_holder_lives() {
     let rig = started(plan(6, 4, 6, slow(500)), 6);
--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -352,7 +352,10 @@
         to.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n")?;
         trickle(to, |to| to.write_all(b" "))
     });
-    let node = Node::ready(&config(lists.address));
+    let mut config = config(lists.address);
+    // The module would ask anew by then whatever a call does.
+    config["settings"]["Contract"]["AskWithin"] = json!(60_000.0);
+    let node = Node::ready(&config);
     until("the list has come", || Client::to(&node).ask(&request("look", "t1", 9000)).status() == 200);
     assert_eq!(
         lists.calls.lock().expect("no panic").iter().filter(|path| !path.contains("watch")).count(),
