--- a/crates/node/src/custody/mod.rs
+++ b/crates/node/src/custody/mod.rs
@@ -714,8 +714,13 @@
 
     /// Has no server begun with this work, for all that this node has sent?
     fn unsent(&self, ticket: Ticket) -> bool {
-        let attempts: Vec<AttemptId> =
-            self.held.borrow().get(&ticket).into_iter().flat_map(|held| held.numbers.keys().copied()).collect();
+        let attempts: Vec<AttemptId> = self
+            .held
+            .borrow()
+            .get(&ticket)
+            .into_iter()
+            .flat_map(|held| held.numbers.keys().copied())
+            .collect();
         let inner = self.inner.get();
         let unsent = |a: &AttemptId| self.means(*a) || inner.is_some_and(|inner| inner.unsent(*a));
         attempts.iter().all(unsent)
--- a/crates/node/tests/custody.rs
+++ b/crates/node/tests/custody.rs
@@ -142,6 +142,39 @@
     }
 }
 
+/// The client of a work leaves while it waits for a turn at the one server, which is full; then there is a place. It is not
+/// sent for nobody: it is let go, and whoever asks for it next has it as new.
+#[test]
+fn a_work_whose_client_left_before_its_turn_is_let_go() {
+    let script: Script = Arc::new(|seen| if seen.txn.starts_with("hold") { Step::Hold } else { Step::Serve });
+    let mut plan = plan(6, 1, 6, script);
+    // Time enough that nothing ends by itself meanwhile.
+    plan.change = |settings| {
+        for class in settings["Classes"].as_array_mut().expect("classes") {
+            (class["Deadline"], class["Slo"]) = (json!(4000), json!(8000));
+        }
+    };
+    let told = plan.operator;
+    plan.operator = Box::new(move |rig, n| told(rig, n).replace("life_ms = 4000", "life_ms = 8000"));
+    let rig = started(plan, 6);
+    let longer = |ask: Ask| Ask { remaining_ms: 3500, ..ask };
+    for (kind, make) in [("slip", slip as fn(&str, &str, bool) -> Ask), ("pay", pay)] {
+        let [hold, left, next] = ["hold", "left", "next"].map(|word| format!("{word}-{kind}"));
+        let full = ask(&rig, 0, Ask::new("look", Effect::Safe, &hold, 3500));
+        until("the server is full", || rig.ledger.of(&hold).attempts == 1);
+        let waits = ask(&rig, 0, longer(make("w", &left, false)));
+        until("its node has it", || rig.figure(0, "custody_mine") == Some(1));
+        waits.abort();
+        until("its node sees that it left", || sockets(Some(rig.address(0)), None) == 1);
+        full.abort();
+        until("there is a place", || sockets(Some(rig.address(0)), None) == 0);
+        let again = answer(ask(&rig, 1, longer(make("w", &next, true))));
+        assert!(matches!(again, Answer::Served(_)), "{kind}: {again:?}");
+        assert_eq!((rig.ledger.of(&left).attempts, rig.ledger.runs_of_path(kind, "/w")), (0, 1), "{kind}");
+        until("it is over", || rig.figure(0, "custody_mine") == Some(0));
+    }
+}
+
 #[test]
 fn a_repeat_joins_the_work_while_its_holder_lives() {
     let rig = started(plan(6, 4, 6, slow(500)), 6);
--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -258,6 +258,68 @@
     assert_eq!(server.seen().len(), 1, "{:?}", server.seen());
 }
 
+/// An answer comes before the request's last byte has gone out: it is to something else, as a server begins with the last
+/// byte. The request never ran there, and is served by another.
+#[test]
+fn an_answer_ahead_of_its_request_is_not_passed_on() {
+    let good = Peer::good("good");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let hasty = listener.local_addr().expect("bound");
+    let came = Arc::new(AtomicBool::new(false));
+    let seen = came.clone();
+    std::thread::spawn(move || {
+        let mut kept = Vec::new();
+        for mut stream in listener.incoming().flatten() {
+            let mut head = [0; 16];
+            // It reads no further: more than the kernel takes stays at the node.
+            if stream.read(&mut head).is_ok_and(|n| n > 0) {
+                seen.store(true, Ordering::SeqCst);
+                let _ = stream.write_all(&answer(200, "", "hasty"));
+            }
+            kept.push(stream);
+        }
+    });
+    let hosts = [host("s0", hasty, "active", 1), host("s1", good.address, "active", 1)];
+    let registry = Registry::new(&hosts);
+    let node = Node::ready(&patient(registry.address, true));
+    let words = request("slip", "t", 30_000).replace("Content-Length: 4", "Content-Length: 16000000");
+    let long = words + &"x".repeat(16_000_000 - 4);
+    for _ in 0..4 {
+        let mut client = Client::to(&node);
+        assert_eq!(
+            client.ask(&long.replace("X-Txn: t", &format!("X-Txn: t{}", client.address().port()))).body,
+            b"good"
+        );
+    }
+    assert!(came.load(Ordering::SeqCst), "the hasty one had its turn");
+}
+
+/// A server was seen to answer twice. From then on no connection is used again so soon that a second answer some
+/// milliseconds late could be taken for that to the next request.
+#[test]
+fn connections_rest_where_answers_come_twice() {
+    let last: Mutex<std::collections::HashMap<usize, Instant>> = Mutex::default();
+    let server = Peer::new(move |message| {
+        let txn = message.header("x-txn").unwrap_or_default();
+        let mut last = last.lock().expect("no panic");
+        let soon = last.get(&message.conn).is_some_and(|at| at.elapsed() < Duration::from_millis(15));
+        let answer = answer(200, "", if soon { "the one before" } else { txn });
+        last.insert(message.conn, Instant::now());
+        Say::This(if txn == "first" { answer.repeat(2) } else { answer })
+    });
+    let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
+    let node = Node::ready(&config(registry.address));
+    let mut client = Client::to(&node);
+    assert_eq!(client.ask(&request("slip", "first", 9000)).body, b"first");
+    for n in 0..60 {
+        let txn = format!("t{n}");
+        assert_eq!(client.ask(&request("slip", &txn, 9000)).body, txn.as_bytes());
+    }
+    // They are used again all the same.
+    let conns = server.seen().iter().map(|m| m.conn).max();
+    assert!(conns < Some(60), "{conns:?} connections for 61 requests");
+}
+
 /// A list service that does by hand what each test wants: what it is asked, and the connection for the answer.
 #[derive(Clone)]
 struct Lists {
