--- a/crates/node/src/backend/http1.rs
+++ b/crates/node/src/backend/http1.rs
@@ -36,11 +36,6 @@
 /// when its server closes it ends as a reset, and fails what must not be repeated.
 const IDLE_SHARE: f64 = 0.5;
 
-/// How long a connection rests after its answer where servers were seen to say more than they were asked, and for how long
-/// that counts. A second answer that comes some milliseconds late would be taken for that to the next request.
-const REST: Duration = Duration::from_millis(20);
-const RESTS_FOR: Duration = Duration::from_secs(60);
-
 /// From when on an attempt counts as long unheard: beyond what is usual for an answer. Too soon costs new connections.
 const UNHEARD: Duration = Duration::from_millis(400);
 
@@ -95,8 +90,6 @@
     /// When the latest of the attempts was sent that a server has answered.
     answered: RefCell<HashMap<ServerId, Instant>>,
     last: Cell<u64>,
-    /// When a server last said more than it was asked.
-    stray: Cell<Option<Instant>>,
     descriptors: Rc<Descriptors>,
     idle_most: Duration,
     connect: Duration,
@@ -111,7 +104,6 @@
             unheard: RefCell::default(),
             answered: RefCell::default(),
             last: Cell::new(0),
-            stray: Cell::new(None),
             descriptors,
             idle_most: ms(config.told.keepalive * IDLE_SHARE),
             connect: ms(config.told.settings.limits.connect_timeout),
@@ -128,7 +120,7 @@
     pub fn sweep(&self) {
         let mut idle = self.idle.borrow_mut();
         for links in idle.values_mut() {
-            links.retain(|l| l.since.elapsed() < self.idle_most && self.stands(l));
+            links.retain(|l| l.since.elapsed() < self.idle_most && l.sock.quiet());
         }
         idle.retain(|_, links| !links.is_empty());
     }
@@ -139,28 +131,18 @@
         let doubt = self.long_unheard(server);
         let mut idle = self.idle.borrow_mut();
         let links = idle.get_mut(&server)?;
-        let rest =
-            if self.stray.get().is_some_and(|at| at.elapsed() < RESTS_FOR) { REST } else { Duration::ZERO };
-        while let Some(last) = links.iter().rposition(|link| link.since.elapsed() >= rest) {
-            if doubt.is_some_and(|since| links[last].since < since) {
+        while let Some(link) = links.pop() {
+            if doubt.is_some_and(|since| link.since < since) {
+                links.push(link);
                 return None;
             }
-            let link = links.remove(last);
-            if link.since.elapsed() < self.idle_most && self.stands(&link) {
+            if link.since.elapsed() < self.idle_most && link.sock.quiet() {
                 return Some(link);
             }
         }
         None
     }
 
-    /// Does an idle connection stand, with nothing to read? What there is to read nobody asked for.
-    fn stands(&self, link: &Link) -> bool {
-        if link.sock.has_unread() {
-            self.stray.set(Some(Instant::now()));
-        }
-        link.sock.quiet()
-    }
-
     /// Since when an attempt at this server has been unheard, where that is long.
     fn long_unheard(&self, server: ServerId) -> Option<Instant> {
         let sent = self.unheard.borrow().get(&server)?.iter().map(|(_, sent)| *sent).min()?;
@@ -531,9 +513,6 @@
     ) -> Ended<Reply> {
         let outcome = self.judge();
         let Some(rest) = self.rest else {
-            if !link.sock.heard_just(self.read.len(), self.framing == Framing::Chunked) {
-                servers.pool.stray.set(Some(Instant::now()));
-            }
             if self.keep {
                 put_back(servers, server, link, self.read.len(), self.framing);
             }
@@ -572,7 +551,7 @@
 fn put_back(servers: &Servers, server: ServerId, link: Link, length: usize, framing: Framing) {
     if link.sock.whole()
         && link.sock.heard_just(length, framing == Framing::Chunked)
-        && servers.pool.stands(&link)
+        && link.sock.quiet()
         // Busy while its server moved or restarted, it escaped the pool's forgetting.
         && servers.hub.place(server) == Some(link.place)
     {
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -324,16 +324,9 @@
     /// Nothing to read, and not closed by the other side. Asks the kernel, as what the runtime knows may be
     /// a turn of its loop old.
     pub fn quiet(&self) -> bool {
-        matches!(self.glance(), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
-    }
-
-    /// Is there something to read?
-    pub fn has_unread(&self) -> bool {
-        matches!(self.glance(), Ok(1..))
-    }
-
-    fn glance(&self) -> io::Result<usize> {
-        SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit(); 1])
+        let mut byte = [MaybeUninit::uninit(); 1];
+        let peeked = SockRef::from(&self.stream).peek(&mut byte);
+        matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// An answer is owed from now on, or not any more.
