--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,7 +5,8 @@
 //! and reads no clock: every call brings the time, and what is to be done is taken from [`Core::poll_output`].
 //!
 //! - A *front* checks what a client sent, hands over an [`Incoming`] and passes on the one [`Final`] of it.
-//! - A *backend* gets [`Output::Start`] and [`Output::Abandon`], and reports one [`Ended`] for each attempt.
+//! - A *backend* gets [`Output::Start`], [`Output::Abandon`] and [`Output::Recall`], and reports one [`Ended`] for each
+//!   attempt.
 //! - A *driver* moves outputs to backends, fronts and discovery, and calls [`Core::handle_timeout`] when
 //!   [`Core::poll_timeout`] is due.
 #![warn(missing_docs)]
