--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -19,14 +19,15 @@
 
 /// How long a connection may take.
 const CONNECT: Duration = Duration::from_millis(1000);
-/// How long a call may wait in the service's queue until its answer is whole, or a watch says its first word. The service itself fails calls after 3 s; with no answer at all
+/// How long a call may wait in the service's queue until its answer is whole, or a watch says its first word.
+/// The service itself fails calls after 3 s; with no answer at all
 /// there must be time for another call before news counts as told, 4 s after a reload.
 const FIRST: Duration = Duration::from_millis(3400);
 /// A watch brings a message every 2 s: a longer silence is a dead link, which TCP alone would not notice.
 const SILENCE: Duration = Duration::from_millis(3200);
 /// From the silence of a watch on what it misses counts as told after 6 s, however many nodes there are. This is what is left
 /// to ask anew, less a second for the answer.
-const ASK_ANEW: Duration = Duration::from_millis(6000 - 3200 - 1000);
+const ASK_ANEW: Duration = Duration::from_millis(6000 - 1000 - SILENCE.as_millis() as u64);
 
 /// Why a call ended.
 enum Ended {
--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -313,13 +313,14 @@
     let server = Peer::new(|_| Say::Nothing);
     let registry = Registry::new(&[host("s0", server.address, "active", 1)]);
     let mut node = Node::ready(&config(registry.address));
-    let (mut open, mut late) = (Client::to(&node), Client::to(&node));
+    let mut open = Client::to(&node);
     open.send(&request("slip", "open", 25_000));
     until("the attempt is out", || server.seen().len() == 1);
     node.terminate();
     node.wait_said("stops");
     // It has its time to come whole, which begins after the node was told to stop.
     std::thread::sleep(Duration::from_millis(1500));
+    let mut late = Client::to(&node);
     let words = request("slip", "late", 25_000);
     let (first, rest) = words.split_at(words.len() - 1);
     late.send(first);
