--- a/crates/node/src/backend/http1.rs
+++ b/crates/node/src/backend/http1.rs
@@ -24,11 +24,11 @@
 use super::{Descriptors, Held, Idle, OWN_ERRORS};
 use crate::blocks::{Blocks, Rest, Sending};
 use crate::call::{Call, Content, Cut, Reply, BODY_MOST, LARGE_MOST, REMAINING};
-use crate::config::Config;
 use crate::headers::end_to_end;
 use crate::hub::Hub;
 use crate::list::Place;
 use crate::sock::{Io, Sock};
+use glenwood_settings::NodeSettings;
 
 /// The largest head of an answer.
 const HEAD_MOST: usize = 16 * 1024;
@@ -97,7 +97,7 @@
 
 impl Pool {
     /// An empty pool.
-    pub fn new(config: &Config, descriptors: Rc<Descriptors>) -> Self {
+    pub fn new(settings: &NodeSettings, descriptors: Rc<Descriptors>) -> Self {
         let ms = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3_600_000.0) / 1000.0);
         Self {
             idle: RefCell::default(),
@@ -105,8 +105,8 @@
             answered: RefCell::default(),
             last: Cell::new(0),
             descriptors,
-            idle_most: ms(config.told.keepalive * IDLE_SHARE),
-            connect: ms(config.told.settings.limits.connect_timeout),
+            idle_most: ms(settings.keepalive * IDLE_SHARE),
+            connect: ms(settings.policy.limits.connect_timeout),
         }
     }
 
@@ -284,7 +284,7 @@
 impl Servers {
     /// No connections yet.
     pub fn new(hub: Rc<Hub>, descriptors: Rc<Descriptors>) -> Rc<Self> {
-        let pool = Rc::new(Pool::new(&hub.config, descriptors.clone()));
+        let pool = Rc::new(Pool::new(&hub.settings(), descriptors.clone()));
         let idle: Rc<dyn Idle> = pool.clone();
         descriptors.may_evict(Rc::downgrade(&idle));
         Rc::new(Self { hub, pool, out: RefCell::default() })
--- a/crates/node/src/backend/msgpack.rs
+++ b/crates/node/src/backend/msgpack.rs
@@ -126,11 +126,11 @@
     /// No connections yet.
     pub fn new(hub: Rc<Hub>, descriptors: Rc<Descriptors>) -> Rc<Self> {
         let ms = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3_600_000.0) / 1000.0);
-        let told = &hub.config.told;
+        let settings = hub.settings();
         let (calls_most, connect) =
-            (hub.config.operator.calls_per_connection, told.settings.limits.connect_timeout);
-        let idle_most = ms(told.keepalive * IDLE_SHARE);
-        let longest = told.longest_deadline.min(SILENT_MOST.1.as_secs_f64() * 1000.0);
+            (hub.config.operator.calls_per_connection, settings.policy.limits.connect_timeout);
+        let idle_most = ms(settings.keepalive * IDLE_SHARE);
+        let longest = settings.longest_deadline.min(SILENT_MOST.1.as_secs_f64() * 1000.0);
         let servers = Rc::new_cyclic(|me| Self {
             me: me.clone(),
             conns: RefCell::default(),
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use glenwood_settings::fields::lacks;
-use glenwood_settings::{told, Told};
+use glenwood_settings::apart::{Apart, Field};
+use glenwood_settings::shape::Shape;
+use glenwood_settings::{NodeSettings, SettingsObject};
 use serde_json::Value;
 
 use crate::list::{self, Update};
@@ -29,11 +30,60 @@
     /// The list of servers as last had.
     pub known: Option<Update>,
     /// The settings.
-    pub told: Told,
+    pub settings: NodeSettings,
     /// The operator's own file; all off without it.
     pub operator: Operator,
-    /// The file as it stood, without the list.
-    pub source: Value,
+    /// Which fields the file has, without the list.
+    pub fields: FileFields,
+}
+
+/// Names the settings' field of a configuration file.
+#[derive(Clone, Copy, Debug)]
+enum SettingsField {}
+
+impl Field for SettingsField {
+    const NAME: &'static str = "settings";
+}
+
+/// A configuration file as it stands.
+type File = Apart<SettingsField, SettingsObject>;
+
+/// Which fields a configuration file has, without their values: one that follows on it must have them too.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FileFields {
+    file: Shape,
+    settings: Shape,
+    /// The fields that all tenants have, where there are any.
+    tenants: Option<Vec<String>>,
+}
+
+impl FileFields {
+    fn of(file: &File) -> Self {
+        let settings = file.field.as_ref();
+        Self {
+            file: Shape::of(&file.rest).without("known"),
+            settings: settings.map_or(Shape::Scalar, |settings| Shape::of(&settings.rest)),
+            tenants: settings.and_then(|s| s.field.as_ref()).map(|tenants| tenants.common_fields.clone()),
+        }
+    }
+
+    /// The first field that this has and the next file lacks, by its path.
+    fn missing_in(&self, next: &File) -> Option<String> {
+        if let Some(field) = self.file.missing_in(&next.rest) {
+            return Some(field);
+        }
+        let Some(settings) = next.field.as_ref() else {
+            return (self.settings != Shape::Scalar).then(|| "settings".to_string());
+        };
+        if let Some(field) = self.settings.missing_in(&settings.rest) {
+            return Some(format!("settings.{field}"));
+        }
+        let (common, Some(tenants)) = (self.tenants.as_ref()?, settings.field.as_ref()) else {
+            return Some("settings.Customers".to_string());
+        };
+        let has = |field: &&String| tenants.names.is_empty() || tenants.common_fields.contains(field);
+        common.iter().find(|field| !has(field)).map(|field| format!("settings.Customers.{field}"))
+    }
 }
 
 /// Descriptors where the configuration names no limit.
@@ -104,32 +154,49 @@
 /// # Errors
 /// One line that names the field, and the file where it is the operator's.
 pub fn load(operator: Option<&Path>) -> Result<Config, String> {
-    let mut config = parse(&json(&text()?)?, |name| std::env::var(name).ok())?;
+    let mut config = first(&text()?, |name| std::env::var(name).ok())?;
     if let Some(path) = operator {
         config.operator = Operator::load(path)?;
     }
     Ok(config)
 }
 
+/// Reads the text of the file that a node starts with.
+///
+/// # Errors
+/// One line that names the field.
+pub fn first(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    parse(read(text)?, env)
+}
+
 /// Reads the file again. The environment is that of the start: what it says of discovery is what the file now
 /// replaces, so here the file goes first. The rest of the environment still holds.
 ///
 /// # Errors
 /// One line that names the field.
-pub fn reload(running: &Value) -> Result<Config, String> {
-    again(&text()?, running, |name| std::env::var(name).ok().filter(|_| name != "BALANCER_DISCOVERY"))
+pub fn reload(running: &FileFields) -> Result<Config, String> {
+    following(&text()?, running, |name| std::env::var(name).ok().filter(|_| name != "BALANCER_DISCOVERY"))
 }
 
 /// Reads a file that is to follow on the running one. One that was written in part may still be JSON: what the running one
 /// has it must have too.
-fn again(text: &str, running: &Value, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-    let file = json(text)?;
-    if let Some(field) = lacks(running, &file) {
+///
+/// # Errors
+/// One line that names the field.
+pub fn following(
+    text: &str,
+    running: &FileFields,
+    env: impl Fn(&str) -> Option<String>,
+) -> Result<Config, String> {
+    let file = read(text)?;
+    if let Some(field) = running.missing_in(&file) {
         return Err(format!(
             "{field}: missing, and the running configuration has it; to drop it takes a new start"
         ));
     }
-    parse(&file, env)
+    let config = parse(file, env)?;
+    config.settings.policy.check().map_err(|e| format!("settings: {e}"))?;
+    Ok(config)
 }
 
 fn text() -> Result<String, String> {
@@ -137,12 +204,14 @@
     std::fs::read_to_string(&path).map_err(|e| format!("BALANCER_CONFIG: {path}: {e}"))
 }
 
-fn json(text: &str) -> Result<Value, String> {
+fn read(text: &str) -> Result<File, String> {
     serde_json::from_str(text).map_err(|e| format!("BALANCER_CONFIG: not JSON: {e}"))
 }
 
 /// Reads a configuration; what the environment names goes before what the file says.
-pub(crate) fn parse(value: &Value, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+fn parse(file: File, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let fields = FileFields::of(&file);
+    let value = &file.rest;
     let text = |name: &str| {
         let upper = format!("BALANCER_{}", name.to_uppercase());
         let file = || value.get(name).and_then(Value::as_str).map(|v| (name.to_string(), v.to_string()));
@@ -162,11 +231,8 @@
         None | Some(Value::Null) => None,
         Some(known) => Some(list::update(known.clone()).map_err(|e| format!("known: {e}"))?),
     };
-    let mut source = value.clone();
-    if let Some(fields) = source.as_object_mut() {
-        fields.remove("known");
-    }
-    let told = told(value.get("settings").unwrap_or(&Value::Null)).map_err(|e| format!("settings: {e}"))?;
+    let settings = NodeSettings::from_object(file.field.unwrap_or_default());
+    let settings = settings.map_err(|e| format!("settings: {e}"))?;
     Ok(Config {
         name: text("name")?.1,
         listen: address("listen")?,
@@ -177,9 +243,9 @@
         sockets: limit(value, "sockets", SOCKETS, SOCKETS_LEAST)?,
         memory_mb: limit(value, "memory_mb", MEMORY_MB, MEMORY_LEAST)?,
         known,
-        told,
+        settings,
         operator: Operator::default(),
-        source,
+        fields,
     })
 }
 
@@ -195,6 +261,12 @@
     Ok(count.min(1 << 20) as usize)
 }
 
+/// Reads a configuration that a test has made.
+#[cfg(test)]
+pub(crate) fn from_value(value: &Value) -> Result<Config, String> {
+    parse(read(&value.to_string())?, |_| None)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -208,12 +280,12 @@
             "Limits":{"AttemptsCap":3,"ConnectTimeout":50},
             "Contract":{"ColdShare":0.2,"WarmWithin":5000,"FallMultiple":3,"Fall":2000}}}"#;
 
-    fn running() -> Value {
-        parse(&json(FILE).expect("JSON"), |_| None).expect("good").source
+    fn running() -> FileFields {
+        parse(read(FILE).expect("JSON"), |_| None).expect("good").fields
     }
 
     fn follows(text: &str) -> Result<Config, String> {
-        again(text, &running(), |_| None)
+        following(text, &running(), |_| None)
     }
 
     #[test]
@@ -241,7 +313,7 @@
                 _ => {}
             }
         }
-        let whole = json(FILE).expect("JSON");
+        let whole: Value = serde_json::from_str(FILE).expect("JSON");
         let mut all = Vec::new();
         paths(&whole, "", &mut all);
         assert!(all.len() > 25, "{all:?}");
@@ -276,10 +348,8 @@
             ("127.0.0.1:8500", "nowhere", "discovery"),
         ] {
             assert!(FILE.contains(from), "{from}");
-            let said = follows(&FILE.replace(from, to)).and_then(|config| {
-                // The module's own bounds are asked before anything is taken.
-                config.told.settings.check().map_err(|e| e.to_string())
-            });
+            // The module's own bounds are asked too before anything is taken.
+            let said = follows(&FILE.replace(from, to)).map(drop);
             assert!(said.as_ref().is_err_and(|words| words.contains(field)), "{to}: {said:?}");
         }
     }
--- a/crates/node/src/custody/mod.rs
+++ b/crates/node/src/custody/mod.rs
@@ -152,14 +152,14 @@
         let Some(told) = config.operator.custody.clone() else { return Ok(None) };
         let membership = membership.ok_or("custody: needs the table members")?.clone();
         let table = config.operator.members.as_ref().ok_or("custody: needs the table members")?;
-        let longest = hub.told().longest_deadline;
+        let longest = hub.settings().longest_deadline;
         if longest > told.life_ms as f64 / 2.0 {
             return Err(format!(
                 "custody.life_ms: twice the longest deadline of {longest} ms at the least expected, not {}",
                 told.life_ms
             ));
         }
-        let known = hub.told().classes.clone();
+        let known = hub.settings().classes.clone();
         let named = told.alone.keys().chain(&told.without);
         if let Some(class) = named.into_iter().find(|class| !known.contains(class)) {
             return Err(format!("custody: there is no class {class:?}"));
@@ -489,7 +489,7 @@
             return None;
         }
         let class = self.hub.class(&about.class)?;
-        let effect = self.hub.told().settings.classes[class.number].effect;
+        let effect = self.hub.settings().policy.classes[class.number].effect;
         let call = form::read_call(
             body,
             class.clone(),
@@ -641,7 +641,7 @@
 
     /// What becomes of a class without a majority.
     fn alone(&self, class: usize, name: &str) -> Alone {
-        let effect = self.hub.told().settings.classes.get(class).map(|class| class.effect);
+        let effect = self.hub.settings().policy.classes.get(class).map(|class| class.effect);
         let by_kind = if effect == Some(policy::Effect::Unsafe) { Alone::Refuse } else { Alone::Serve };
         self.told.alone.get(name).copied().unwrap_or(by_kind)
     }
@@ -826,8 +826,8 @@
         incoming: Incoming<Rc<Call>>,
         waiter: Waiter,
     ) -> Result<u64, (Incoming<Rc<Call>>, Waiter)> {
-        let told = self.hub.told();
-        let effect = told.settings.classes.get(incoming.class).map(|class| class.effect);
+        let settings = self.hub.settings();
+        let effect = settings.policy.classes.get(incoming.class).map(|class| class.effect);
         let call = &incoming.payload;
         let name = call.of.0.name.to_string();
         let kind = match effect {
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -355,7 +355,7 @@
     request: Request<Incoming>,
 ) -> Result<(Asked, Duration), Bad> {
     // What counts when its head has come counts for it.
-    let told = hub.told();
+    let settings = hub.settings();
     let (parts, body) = request.into_parts();
     let bodied = !hyper::body::Body::is_end_stream(&body);
     // Nothing more is read of one whose end is in doubt, or that has a body where none may be.
@@ -370,7 +370,7 @@
         return Err(unread(StatusCode::PAYLOAD_TOO_LARGE));
     }
     let class = class.ok_or_else(|| unread(StatusCode::NOT_FOUND))?;
-    let checked = check(&parts.method, &parts.headers, told.settings.classes[class.number].effect);
+    let checked = check(&parts.method, &parts.headers, settings.policy.classes[class.number].effect);
     let (id, key, remaining) = checked.map_err(|bad| unread(bad.status))?;
     let tenant = header(&parts.headers, &ORG).ok().flatten();
     let tenant = tenant.and_then(|org| hub.tenant(org));
@@ -508,7 +508,7 @@
                     "Classes": [{"Name": "look", "Slo": 900, "Deadline": 9000, "Value": 1, "Idempotency": "pure"}],
                     "Limits": {"AttemptsCap": 3, "ConnectTimeout": 50},
                     "Contract": {"ColdShare": 0.2, "WarmWithin": 5000, "FallMultiple": 3, "Fall": 2000}}});
-            let mut config = config::parse(&file, |_| None).expect("good");
+            let mut config = config::from_value(&file).expect("good");
             let known = config.known.take();
             let hub = Hub::new(config, None).expect("good settings");
             let server = Rc::new(Server::default());
--- a/crates/node/src/front/msgpack.rs
+++ b/crates/node/src/front/msgpack.rs
@@ -269,7 +269,7 @@
 
     /// Checks what a call must bring, by the same bounds as a request over HTTP.
     fn check(&self, asked: Asked, began: Instant) -> Result<Incoming<Rc<Call>>, ErrorReply> {
-        let told = self.hub.told();
+        let settings = self.hub.settings();
         let Some(class) = self.class(&asked.class) else {
             return Err(ErrorReply::new(Code::UnknownClass, "method: no such class"));
         };
@@ -294,7 +294,7 @@
         };
         let id = token(asked.txn, "txn")?;
         let remaining = asked.remaining_ms.ok_or_else(|| bad("remaining_ms: missing"))?;
-        let effect = told.settings.classes[class.number].effect;
+        let effect = settings.policy.classes[class.number].effect;
         let key = match effect {
             Effect::Keyed { .. } => Some(token(asked.key, "key")?),
             Effect::Safe | Effect::Unsafe => None,
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -12,7 +12,7 @@
 use glenwood_operation::figures::{End, Shared, Ticket};
 use glenwood_operation::places::{Place as Seat, Places, Turn};
 use glenwood_policy::{Millis, Outcome, RequestId, ServerId, SettingsError};
-use glenwood_settings::Told;
+use glenwood_settings::NodeSettings;
 use glenwood_trace::{Answer, Doing, Record};
 use tokio::sync::Notify;
 
@@ -132,8 +132,8 @@
     pub closing: Cell<bool>,
     /// Set when what is still open is failed: nothing more is taken.
     pub failing: Cell<bool>,
-    /// The settings that count, by places.
-    told: RefCell<Rc<Told>>,
+    /// The settings that count, by places; without the tenants' names, which their places have.
+    settings: RefCell<Rc<NodeSettings>>,
     classes: RefCell<Places>,
     tenants: RefCell<Places>,
     core: RefCell<Core<Rc<Call>, Reply>>,
@@ -168,14 +168,15 @@
     ///
     /// # Errors
     /// Where the module refuses the settings.
-    pub fn new(config: Config, shares: Option<Shares>) -> Result<Rc<Self>, SettingsError> {
-        let told = config.told.clone();
-        let core = Core::new(told.settings.clone(), config.seed, told.open_cap)?;
+    pub fn new(mut config: Config, shares: Option<Shares>) -> Result<Rc<Self>, SettingsError> {
+        let tenant_names = std::mem::take(&mut config.settings.tenants);
+        let settings = config.settings.clone();
+        let core = Core::new(settings.policy.clone(), config.seed, settings.open_cap)?;
         let (mut classes, mut tenants) = (Places::default(), Places::default());
         // All are new, and take the places in their order.
-        classes.follow(&told.classes);
-        tenants.follow(&told.tenants);
-        shares.iter().for_each(|shares| shares.follow(&told.tenants, &told));
+        classes.follow(&settings.classes);
+        tenants.follow(&tenant_names);
+        shares.iter().for_each(|shares| shares.follow(&tenant_names, &settings));
         let hub = Rc::new(Self {
             clock: Clock::default(),
             figures: Shared::default(),
@@ -186,7 +187,7 @@
             leaving: Cell::new(false),
             closing: Cell::new(false),
             failing: Cell::new(false),
-            told: RefCell::new(Rc::new(told)),
+            settings: RefCell::new(Rc::new(settings)),
             classes: RefCell::new(classes),
             tenants: RefCell::new(tenants),
             core: RefCell::new(core),
@@ -207,7 +208,8 @@
             rearmed: Notify::new(),
             config,
         });
-        hub.figures.with(|figures| figures.have_classes(hub.config.told.classes.iter().map(String::as_str)));
+        let names = hub.settings().classes.clone();
+        hub.figures.with(|figures| figures.have_classes(names.iter().map(String::as_str)));
         Ok(hub)
     }
 
@@ -377,8 +379,8 @@
     }
 
     /// The settings that count now; classes and tenants stand in them by their places.
-    pub fn told(&self) -> Rc<Told> {
-        self.told.borrow().clone()
+    pub fn settings(&self) -> Rc<NodeSettings> {
+        self.settings.borrow().clone()
     }
 
     /// The class of that name, if the settings have it.
@@ -395,25 +397,26 @@
     ///
     /// # Errors
     /// Where the module would refuse them.
-    pub fn new_settings(&self, mut new: Told) -> Result<(), SettingsError> {
-        new.settings.check()?;
-        let old = self.told();
+    pub fn new_settings(&self, mut new: NodeSettings) -> Result<(), SettingsError> {
+        new.policy.check()?;
+        let old = self.settings();
+        let tenant_names = std::mem::take(&mut new.tenants);
         // How the list comes is what the node is made of: that waits for the next start.
-        new.settings.discovery = old.settings.discovery;
+        new.policy.discovery = old.policy.discovery;
         self.figures.with(|figures| figures.have_classes(new.classes.iter().map(String::as_str)));
         let classes = self.classes.borrow_mut().follow(&new.classes);
-        let tenants = self.tenants.borrow_mut().follow(&new.tenants);
-        new.settings.classes = seated(&classes, &old.settings.classes, &new.settings.classes);
-        new.settings.tenants = seated(&tenants, &old.settings.tenants, &new.settings.tenants);
+        let tenants = self.tenants.borrow_mut().follow(&tenant_names);
+        new.policy.classes = seated(&classes, &old.policy.classes, &new.policy.classes);
+        new.policy.tenants = seated(&tenants, &old.policy.tenants, &new.policy.tenants);
         let anew = |turns: &[Turn]| turns.iter().map(|turn| !matches!(turn, Turn::Stays(_))).collect();
         if let Some(shares) = &self.shares {
             let places = self.tenants.borrow();
             let name = |place: usize| places.name(place).map_or_else(String::new, |name| name.to_string());
-            shares.follow(&(0..new.settings.tenants.len()).map(name).collect::<Vec<_>>(), &new);
+            shares.follow(&(0..new.policy.tenants.len()).map(name).collect::<Vec<_>>(), &new);
         }
-        let (classes, tenants, settings) = (anew(&classes), anew(&tenants), new.settings.clone());
-        self.told.replace(Rc::new(new));
-        self.tell(|core, now| core.new_settings(now, settings, classes, tenants))
+        let (classes, tenants, policy) = (anew(&classes), anew(&tenants), new.policy.clone());
+        self.settings.replace(Rc::new(new));
+        self.tell(|core, now| core.new_settings(now, policy, classes, tenants))
     }
 
     /// Writes down what is not counted as it happens.
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -10,7 +10,6 @@
 use glenwood_core::{AttemptId, Ended};
 use glenwood_operation::upgrade::Incumbent;
 use glenwood_policy::{Discovery, Outcome, ServerId};
-use serde_json::Value;
 use tokio::net::{TcpListener, TcpSocket, UnixListener};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{spawn_local, AbortHandle};
@@ -18,7 +17,7 @@
 use crate::backend::{http1, msgpack, Descriptors};
 use crate::call::{Call, BODY_MOST};
 use crate::clock::Clock;
-use crate::config::{self, Config};
+use crate::config::{self, Config, FileFields};
 use crate::custody::{Custody, Guarded};
 use crate::discovery;
 use crate::door;
@@ -62,8 +61,8 @@
     msgpack: Rc<msgpack::Servers>,
     /// Where discovery is now; a reload moves it.
     discovery: Cell<SocketAddr>,
-    /// The file of the configuration that counts.
-    source: RefCell<Value>,
+    /// Which fields the configuration file that counts has.
+    fields: RefCell<FileFields>,
     /// The call to discovery that is out.
     call: RefCell<Option<AbortHandle>>,
 }
@@ -193,7 +192,7 @@
         http1: http1::Servers::new(hub.clone(), descriptors.clone()),
         msgpack: msgpack::Servers::new(hub.clone(), descriptors.clone()),
         discovery: Cell::new(hub.config.discovery),
-        source: RefCell::new(hub.config.source.clone()),
+        fields: RefCell::new(hub.config.fields.clone()),
         call: RefCell::default(),
         hub: hub.clone(),
     });
@@ -204,7 +203,7 @@
         None => links.clone(),
     };
     hub.start(outside, known);
-    if hub.config.told.settings.discovery == Discovery::Pushed && hub.config.operator.asks_discovery() {
+    if hub.settings().policy.discovery == Discovery::Pushed && hub.config.operator.asks_discovery() {
         spawn_local(watch_agent(links.clone()));
     }
     if let Some(told) = hub.config.operator.registrations.clone() {
@@ -345,18 +344,20 @@
 /// changes nothing. Signals that come in quick succession are one: the file is read after the last.
 async fn reload(links: Rc<Links>, mut hangup: Signal) {
     while hangup.recv().await.is_some() {
-        // Nothing else happens between the reading and the last of these lines.
-        let taken = config::reload(&links.source.borrow()).and_then(|config| {
-            links.hub.new_settings(config.told).map_err(|e| format!("settings: {e}"))?;
-            Ok((config.discovery, config.source))
+        let running = links.fields.borrow().clone();
+        let read = read_again(running).await;
+        // Nothing else happens between here and the last of these lines.
+        let taken = read.and_then(|config| {
+            links.hub.new_settings(config.settings).map_err(|e| format!("settings: {e}"))?;
+            Ok((config.discovery, config.fields))
         });
         links
             .hub
             .figures
             .with(|f| *if taken.is_ok() { &mut f.conf_loaded } else { &mut f.conf_invalid } += 1);
         match taken {
-            Ok((discovery, source)) => {
-                links.source.replace(source);
+            Ok((discovery, fields)) => {
+                links.fields.replace(fields);
                 log::line(format!("reload: discovery is {discovery}"));
                 // A call that stands is left alone: to ask anew costs the service, and tells nothing.
                 if links.discovery.replace(discovery) != discovery {
@@ -368,6 +369,18 @@
     }
 }
 
+/// Reads and checks the configuration file on a thread of its own: a large one must not keep requests waiting.
+async fn read_again(running: FileFields) -> Result<Config, String> {
+    let (sender, read) = tokio::sync::oneshot::channel();
+    let thread = std::thread::Builder::new().name("reload".to_string());
+    let spawned = thread.spawn(move || {
+        // Nobody waits any more where the node has ended.
+        let _ = sender.send(config::reload(&running));
+    });
+    spawned.map_err(|e| format!("BALANCER_CONFIG: no thread to read it: {e}"))?;
+    read.await.map_err(|_| "BALANCER_CONFIG: reading it failed".to_string())?
+}
+
 /// Keeps up what operators are shown of the list.
 async fn show(hub: Rc<Hub>, parts: Vec<Rc<dyn Part>>) {
     loop {
@@ -402,7 +415,7 @@
     let told = Instant::now();
     let clients = &fronts.clients;
     hub.stop();
-    let killed = patience(hub.told().longest_deadline);
+    let killed = patience(hub.settings().longest_deadline);
     let after = |before: Duration| told.elapsed() >= killed.saturating_sub(before);
     if hub.leaving.get() {
         fronts.no_more.notify_waiters();
--- a/crates/node/src/usage.rs
+++ b/crates/node/src/usage.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use glenwood_settings::Told;
+use glenwood_settings::NodeSettings;
 use glenwood_usage::wire::LONGEST;
 use glenwood_usage::{Boot, Datagram, Explained, Key, Peers, Share, Usage};
 use serde::Serialize;
@@ -88,13 +88,13 @@
     }
 
     /// The tenants that there are, by their places, and what they are allowed.
-    pub fn follow(&self, names: &[String], told: &Told) {
+    pub fn follow(&self, names: &[String], settings: &NodeSettings) {
         let mut machine = self.machine.borrow_mut();
         let one = |(name, tenant): (&String, &glenwood_policy::Tenant)| {
             let allowed = tenant.quota_per_s * self.window_ms as f64 / 1000.0;
             (name.clone(), machine.allow(key_of(name), allowed.clamp(0.0, f64::from(u32::MAX)) as u32))
         };
-        let all = names.iter().zip(&told.settings.tenants).map(one).collect();
+        let all = names.iter().zip(&settings.policy.tenants).map(one).collect();
         self.tenants.replace(all);
     }
 
--- a/crates/operation/tests/places.rs
+++ b/crates/operation/tests/places.rs
@@ -66,3 +66,16 @@
         }
     }
 }
+
+/// One lookup by hash for a name that is not where it was, however many there are.
+#[test]
+fn very_many_places_are_found_and_followed() {
+    const MANY: usize = 47_000;
+    let names: Vec<String> = (0..MANY).map(|n| format!("tenant-{n}")).collect();
+    let mut places = Places::default();
+    places.follow(&names);
+    let reversed: Vec<&String> = names.iter().rev().collect();
+    let turns = places.follow(&reversed);
+    assert!((0..MANY).all(|n| turns[n] == Turn::Stays(MANY - 1 - n)));
+    assert!((0..MANY).all(|n| places.find(&names[n]).is_some_and(|place| place.number == n)));
+}
--- /dev/null
+++ b/crates/settings/src/apart.rs
@@ -0,0 +1,68 @@
+//! A JSON object of which one field is read by itself, so that no tree is built of it.
+
+use std::fmt;
+use std::marker::PhantomData;
+
+use serde::de::{Deserialize, Deserializer, IgnoredAny, MapAccess, SeqAccess, Visitor};
+use serde_json::{Map, Value};
+
+/// Names the field that is read by itself.
+pub trait Field {
+    /// Its name.
+    const NAME: &'static str;
+}
+
+/// An object, and one of its fields read as a `T`.
+#[derive(Clone, Debug)]
+pub struct Apart<F, T> {
+    /// The other fields; null where it is no object.
+    pub rest: Value,
+    /// The field; `None` where it is absent or null.
+    pub field: Option<T>,
+    of: PhantomData<F>,
+}
+
+impl<F, T> Default for Apart<F, T> {
+    fn default() -> Self {
+        Self { rest: Value::Null, field: None, of: PhantomData }
+    }
+}
+
+impl<'de, F: Field, T: Deserialize<'de>> Deserialize<'de> for Apart<F, T> {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        from.deserialize_any(ApartVisitor(PhantomData))
+    }
+}
+
+struct ApartVisitor<F, T>(PhantomData<(F, T)>);
+
+impl<'de, F: Field, T: Deserialize<'de>> Visitor<'de> for ApartVisitor<F, T> {
+    type Value = Apart<F, T>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("an object")
+    }
+
+    scalars!(Apart::default());
+
+    fn visit_unit<E>(self) -> Result<Self::Value, E> {
+        Ok(Apart::default())
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut entries: A) -> Result<Self::Value, A::Error> {
+        while entries.next_element::<IgnoredAny>()?.is_some() {}
+        Ok(Apart::default())
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Self::Value, A::Error> {
+        let (mut rest, mut field) = (Map::new(), None);
+        while let Some(key) = map.next_key::<String>()? {
+            if key == F::NAME {
+                field = map.next_value::<Option<T>>()?;
+            } else {
+                rest.insert(key, map.next_value::<Value>()?);
+            }
+        }
+        Ok(Apart { rest: Value::Object(rest), field, of: PhantomData })
+    }
+}
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -50,26 +50,6 @@
     value.as_array().ok_or_else(|| format!("{what}: array expected"))
 }
 
-/// The first field that `old` has and `new` lacks, by its path: in objects, and in lists of objects what all entries of the
-/// old list have. One that is null is not there.
-pub fn lacks(old: &Value, new: &Value) -> Option<String> {
-    let join = |key: &str, rest: Option<String>| rest.map(|rest| format!("{key}.{rest}"));
-    match (old, new) {
-        (Value::Object(old), Value::Object(new)) => old.iter().find_map(|(key, old)| match new.get(key) {
-            _ if old.is_null() => None,
-            None | Some(Value::Null) => Some(key.clone()),
-            Some(new) => join(key, lacks(old, new)),
-        }),
-        (Value::Array(old), Value::Array(new)) => {
-            let mut common = old.first()?.as_object()?.clone();
-            common.retain(|key, _| old.iter().all(|entry| entry.get(key).is_some()));
-            let common = Value::Object(common);
-            new.iter().enumerate().find_map(|(n, entry)| join(&n.to_string(), lacks(&common, entry)))
-        }
-        _ => None,
-    }
-}
-
 /// The settings of one object; an absent optional value takes its default, an absent required one is an
 /// error.
 pub struct Fields<'a> {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,14 +1,42 @@
 //! The settings object that an instance on the simulator's wire and a node on sockets are both given.
 #![warn(missing_docs)]
 
+/// What a visitor makes of a value that is neither an object nor a list: nothing that it can use.
+macro_rules! scalars {
+    ($otherwise:expr) => {
+        fn visit_bool<E>(self, _: bool) -> Result<Self::Value, E> {
+            Ok($otherwise)
+        }
+        fn visit_i64<E>(self, _: i64) -> Result<Self::Value, E> {
+            Ok($otherwise)
+        }
+        fn visit_u64<E>(self, _: u64) -> Result<Self::Value, E> {
+            Ok($otherwise)
+        }
+        fn visit_f64<E>(self, _: f64) -> Result<Self::Value, E> {
+            Ok($otherwise)
+        }
+        fn visit_str<E>(self, _: &str) -> Result<Self::Value, E> {
+            Ok($otherwise)
+        }
+    };
+}
+
+pub mod apart;
 pub mod fields;
+pub mod shape;
+pub mod tenants;
+
+use std::collections::HashSet;
+use std::hash::Hash;
 
-use glenwood_policy::{
-    Class, Discovery, Effect, Goal, Group, Limits, Millis, Rules, Settings, Tenant, Weights,
-};
+use glenwood_policy::{Class, Discovery, Effect, Goal, Group, Limits, Millis, Rules, Settings, Weights};
+use serde::Deserialize;
 use serde_json::{Map, Value};
 
+use apart::{Apart, Field};
 use fields::{text, whole, FieldError, Fields};
+use tenants::Tenants;
 
 fn class(value: &Value) -> Result<(String, Class), FieldError> {
     let f = Fields::of(value, "Classes")?;
@@ -40,11 +68,22 @@
     Ok((text(f.need("Name")?, "Name")?.to_string(), class))
 }
 
+/// Names the tenants' field of a settings object.
+#[derive(Clone, Copy, Debug)]
+pub enum Customers {}
+
+impl Field for Customers {
+    const NAME: &'static str = "Customers";
+}
+
+/// A settings object as it stands in a file, with its tenants read one by one.
+pub type SettingsObject = Apart<Customers, Tenants>;
+
 /// What the settings object says: the module's part, and what only a node on sockets needs.
 #[derive(Clone, Debug)]
-pub struct Told {
-    /// The module's settings.
-    pub settings: Settings,
+pub struct NodeSettings {
+    /// The decision module's settings.
+    pub policy: Settings,
     /// The names of the classes, by index.
     pub classes: Vec<String>,
     /// The names of the tenants, by index.
@@ -57,35 +96,56 @@
     pub open_cap: usize,
 }
 
+/// The first of some names that stands there a second time. Each is looked at once.
+pub fn first_duplicate<N: Eq + Hash>(names: impl IntoIterator<Item = N>) -> Option<N> {
+    let mut seen = HashSet::new();
+    for name in names {
+        if let Some(before) = seen.replace(name) {
+            return Some(before);
+        }
+    }
+    None
+}
+
 /// Two of one name could not be told apart.
-fn once(names: &[String], of: &str) -> Result<(), FieldError> {
-    let twice = names.iter().enumerate().find(|(n, name)| names[..*n].contains(name));
-    twice.map_or(Ok(()), |(_, name)| Err(format!("{of}: {name} stands there twice")))
+fn unique(names: &[String], of: &str) -> Result<(), FieldError> {
+    first_duplicate(names).map_or(Ok(()), |name| Err(format!("{of}: {name} stands there twice")))
+}
+
+impl NodeSettings {
+    /// Reads the settings object that an instance is given.
+    ///
+    /// # Errors
+    /// Names the first field that is missing or malformed.
+    pub fn from_value(value: &Value) -> Result<Self, FieldError> {
+        Self::from_object(SettingsObject::deserialize(value).map_err(|e| e.to_string())?)
+    }
+
+    /// The same, of an object whose tenants have been read.
+    ///
+    /// # Errors
+    /// Names the first field that is missing or malformed.
+    pub fn from_object(object: SettingsObject) -> Result<Self, FieldError> {
+        read(&object.rest, object.field.unwrap_or_default())
+    }
 }
 
-/// Reads the settings object that an instance, or a node on sockets, is given.
-///
-/// # Errors
-/// Names the first field that is missing or malformed.
-pub fn told(value: &Value) -> Result<Told, FieldError> {
+fn read(value: &Value, tenants: Tenants) -> Result<NodeSettings, FieldError> {
     let f = Fields::of(value, "Options")?;
     let classes = f.list("Classes")?.iter().map(class).collect::<Result<Vec<_>, _>>()?;
     let longest_deadline = classes.iter().map(|c| c.1.patience).fold(0.0, f64::max);
     let (class_names, classes): (Vec<String>, _) = classes.into_iter().unzip();
-    once(&class_names, "Classes")?;
-    let mut tenants = Vec::new();
-    let mut tenant_names = Vec::new();
-    for value in f.list("Customers")? {
-        let t = Fields::of(value, "Customers")?;
-        tenant_names.push(text(t.need("Name")?, "Name")?.to_string());
-        tenants.push(Tenant { quota_per_s: t.number("QuotaPerS")? });
+    unique(&class_names, "Classes")?;
+    if let Some(error) = tenants.error {
+        return Err(error);
     }
-    once(&tenant_names, "Customers")?;
+    let (tenant_names, tenants) = (tenants.names, tenants.tenants);
+    unique(&tenant_names, "Customers")?;
     let l = Fields::of(f.need("Limits")?, "Limits")?;
     let r = Fields::of(f.need("Contract")?, "Contract")?;
     let empty = Value::Object(Map::new());
     let g = Fields::of(f.get("Goal").unwrap_or(&empty), "Goal")?;
-    let settings = Settings {
+    let policy = Settings {
         number: whole(f.need("Me")?, "Me")? as usize,
         nodes: whole(f.need("PeersTotal")?, "PeersTotal")? as usize,
         classes,
@@ -133,8 +193,8 @@
         },
         tick: f.number_or("Tick", 1.0)?,
     };
-    Ok(Told {
-        settings,
+    Ok(NodeSettings {
+        policy,
         classes: class_names,
         tenants: tenant_names,
         longest_deadline,
--- /dev/null
+++ b/crates/settings/tests/tenants.rs
@@ -0,0 +1,66 @@
+//! Tenants are read one by one, from text and from a tree alike, and malformed ones are told by their field.
+
+use glenwood_settings::{NodeSettings, SettingsObject};
+use serde_json::{json, Value};
+
+fn settings(customers: &Value) -> Value {
+    json!({"Me": 0, "PeersTotal": 1, "Customers": customers,
+        "Classes": [{"Name": "look", "Slo": 100, "Idempotency": "pure"}],
+        "Limits": {"AttemptsCap": 3, "ConnectTimeout": 50},
+        "Contract": {"ColdShare": 0.2, "WarmWithin": 5000, "FallMultiple": 3, "Fall": 2000}})
+}
+
+/// What comes of it, read from text; a tree must come to the same.
+fn read(customers: &Value) -> Result<Vec<(String, f64)>, String> {
+    let whole = |read: NodeSettings| {
+        let quotas = read.policy.tenants.iter().map(|tenant| tenant.quota_per_s);
+        read.tenants.iter().cloned().zip(quotas).collect::<Vec<_>>()
+    };
+    let value = settings(customers);
+    let object: SettingsObject = serde_json::from_str(&value.to_string()).expect("JSON");
+    let from_text = NodeSettings::from_object(object).map(whole);
+    assert_eq!(from_text, NodeSettings::from_value(&value).map(whole), "{customers}");
+    from_text
+}
+
+#[test]
+fn tenants_are_read_with_whatever_else_stands_beside_them() {
+    let read = |customers| read(&customers).expect("good");
+    assert_eq!(read(json!(null)), []);
+    assert_eq!(read(json!([])), []);
+    let two = json!([{"Name": "a", "QuotaPerS": 5}, {"Note": {"x": [1]}, "QuotaPerS": 2.5, "Name": "b"}]);
+    assert_eq!(read(two), [("a".to_string(), 5.0), ("b".to_string(), 2.5)]);
+}
+
+#[test]
+fn malformed_tenants_are_told_by_their_field() {
+    let good = json!({"Name": "a", "QuotaPerS": 5});
+    for (customers, words) in [
+        (json!(7), "Customers: array expected"),
+        (json!("many"), "Customers: array expected"),
+        (json!(true), "Customers: array expected"),
+        (json!({"Name": "a"}), "Customers: array expected"),
+        (json!([good, 7]), "Customers: object expected"),
+        (json!([good, null]), "Customers: object expected"),
+        (json!([good, [good]]), "Customers: object expected"),
+        (json!([good, {"Name": "b"}]), "Customers: QuotaPerS is missing"),
+        (json!([{"Name": null, "QuotaPerS": 5}, good]), "Customers: Name is missing"),
+        (json!([{"Name": 5, "QuotaPerS": 5}]), "Name: text expected"),
+        (json!([{"Name": "b", "QuotaPerS": "5"}, good]), "QuotaPerS: number expected"),
+        (json!([good, {"Name": "b", "QuotaPerS": 1}, good]), "Customers: a stands there twice"),
+    ] {
+        assert_eq!(read(&customers), Err(words.to_string()), "{customers}");
+    }
+}
+
+#[test]
+fn the_fields_that_all_tenants_have_are_known() {
+    let fields = |customers: Value| {
+        let object: SettingsObject = serde_json::from_value(settings(&customers)).expect("an object");
+        object.field.expect("there").common_fields
+    };
+    let both = json!([{"Name": "a", "QuotaPerS": 5, "Note": 1, "Since": 2}, {"Name": "b", "QuotaPerS": 5, "Since": 3}]);
+    assert_eq!(fields(both), ["Name", "QuotaPerS", "Since"]);
+    let none = json!([{"Name": "a", "QuotaPerS": 5, "Note": null}, {"Name": "b", "QuotaPerS": 5, "Note": 3}]);
+    assert_eq!(fields(none), ["Name", "QuotaPerS"]);
+}
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -7,7 +7,7 @@
 
 use glenwood_policy::*;
 use glenwood_settings::fields::{list, number, optional, text, whole, Fields};
-use glenwood_settings::{told, Told};
+use glenwood_settings::NodeSettings;
 use serde_json::{json, Value};
 
 /// A line that cannot be understood.
@@ -104,7 +104,8 @@
                 self.tables.insert(whole(at(1), "Table")?, entries);
             }
             "CREATE" => {
-                let Told { settings, classes, tenants, .. } = told(at(2))?;
+                let NodeSettings { policy: settings, classes, tenants, .. } =
+                    NodeSettings::from_value(at(2))?;
                 let balancer = Balancer::new(settings, whole(at(1), "Prng")?).map_err(|e| e.to_string())?;
                 self.instances.insert(me, Instance { balancer, classes, tenants });
             }
