--- /dev/null
+++ b/crates/configuration/tests/following.rs
@@ -0,0 +1,347 @@
+//! One publisher and one subscriber, message by message: what is lost, doubled, out of order or spoilt, and what a replica offers.
+
+use std::collections::BTreeSet;
+
+use glenwood_configuration::feed::{Currency, Feed, Settings, CREDIT};
+use glenwood_configuration::resource::{Service, Tenant};
+use glenwood_configuration::resources::Resources;
+use glenwood_configuration::*;
+
+const NODE: u64 = 7;
+
+fn tenant(number: usize, quota_per_s: f64, service: &str) -> Entry {
+    let body = Body::Tenant(Tenant { quota_per_s, services: vec![service.into()] });
+    Entry { name: format!("t{number}"), owner: "sales".into(), body }
+}
+
+fn service(name: &str) -> Entry {
+    Entry { name: name.into(), owner: "ops".into(), body: Body::Service(Service {}) }
+}
+
+fn settings() -> Settings {
+    Settings { log_most: 50, piece_entries: 10, ..Settings::default() }
+}
+
+fn source(tenants: usize) -> Source {
+    let tenants = (0..tenants).map(|n| tenant(n, 1.0, if n % 2 == 0 { "a" } else { "b" }));
+    let resources = Resources::of([service("a"), service("b")].into_iter().chain(tenants));
+    Source::new(settings(), resources, 1, 0).expect("valid")
+}
+
+fn change(source: &mut Source, number: usize, quota: f64) -> Position {
+    let service = if number.is_multiple_of(2) { "a" } else { "b" };
+    source.push(vec![Operation::Put(tenant(number, quota, service))], None).expect("valid")
+}
+
+fn scope_a() -> Scope {
+    Scope::Services(BTreeSet::from(["a".to_string()]))
+}
+
+struct Pair {
+    now: u64,
+    source: Source,
+    replica: Replica,
+}
+
+impl Pair {
+    fn new(tenants: usize, scope: Scope) -> Self {
+        let mut pair = Self { now: 0, source: source(tenants), replica: Replica::new("n0", scope, 1, 1, 0) };
+        pair.settle(|message| vec![message]);
+        pair
+    }
+
+    fn accept_all(&mut self) {
+        while let Some(offer) = self.replica.poll_offer() {
+            self.replica.accept(self.now, offer);
+        }
+    }
+
+    /// What goes up reaches the source.
+    fn up(&mut self) {
+        while let Some(request) = self.replica.poll_request() {
+            self.source.receive(self.now, NODE, request);
+        }
+    }
+
+    /// What the source has to send by now.
+    fn down(&mut self) -> Vec<Publication> {
+        let mut all = Vec::new();
+        while let Some((to, publication)) = self.source.poll_transmit(self.now) {
+            assert_eq!(to, NODE);
+            self.source.taken(NODE, 1);
+            all.push(publication);
+        }
+        all
+    }
+
+    /// Lets them speak for ten seconds; each publication passes through `link`.
+    fn settle(&mut self, mut link: impl FnMut(Publication) -> Vec<Publication>) {
+        for _ in 0..1_000 {
+            self.now += 10;
+            self.replica.tick(self.now);
+            self.up();
+            self.source.tick(self.now);
+            for publication in self.down().into_iter().flat_map(&mut link) {
+                self.replica.receive(self.now, publication);
+            }
+            self.accept_all();
+        }
+    }
+
+    /// Has the replica in force just what its scope includes of the source's?
+    fn agrees(&self, scope: &Scope) -> bool {
+        let wanted = self.source.resources().iter().filter(|(key, e)| scope.includes(&key.name, &e.body));
+        self.replica.in_force() == Some(self.source.head().version)
+            && wanted.eq(self.replica.resources().iter())
+    }
+}
+
+#[test]
+fn a_replica_has_what_its_scope_includes() {
+    for scope in [Scope::All, scope_a()] {
+        let mut pair = Pair::new(101, scope.clone());
+        assert!(pair.agrees(&scope));
+        change(&mut pair.source, 2, 9.0);
+        change(&mut pair.source, 3, 9.0);
+        pair.settle(|message| vec![message]);
+        assert!(pair.agrees(&scope));
+    }
+}
+
+#[test]
+fn a_resource_that_leaves_the_scope_is_gone_and_one_that_enters_it_is_there() {
+    let mut pair = Pair::new(4, scope_a());
+    pair.source.push(vec![Operation::Put(tenant(0, 1.0, "b"))], None).expect("valid");
+    pair.source.push(vec![Operation::Put(tenant(1, 1.0, "a"))], None).expect("valid");
+    let gone = Operation::Remove { key: tenant(2, 1.0, "a").key(), owner: "sales".into() };
+    pair.source.push(vec![gone], None).expect("valid");
+    pair.settle(|message| vec![message]);
+    assert!(pair.agrees(&scope_a()));
+    let names: Vec<&str> = pair.replica.resources().iter().map(|(key, _)| key.name.as_str()).collect();
+    assert_eq!(names, ["a", "t1"]);
+}
+
+#[test]
+fn whatever_is_lost_or_doubled_is_made_good() {
+    for seed in 0..50 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut pair = Pair::new(60, scope_a());
+        for n in 0..20 {
+            change(&mut pair.source, n, 5.0);
+        }
+        pair.settle(|message| match random.u32(0..10) {
+            0..3 => vec![],
+            3..5 => vec![message.clone(), message],
+            _ => vec![message],
+        });
+        assert!(pair.agrees(&scope_a()), "seed {seed}: {:?}", pair.replica.in_force());
+    }
+}
+
+#[test]
+fn changes_out_of_order_count_in_their_order() {
+    let mut pair = Pair::new(10, Scope::All);
+    for n in 0..5 {
+        change(&mut pair.source, n, 5.0);
+    }
+    pair.now += 1;
+    let mut changes = pair.down();
+    changes.reverse();
+    let before = pair.replica.in_force();
+    let last = changes.pop().expect("five changes");
+    for late in changes {
+        pair.replica.receive(pair.now, late);
+        assert_eq!(pair.replica.poll_offer(), None, "nothing that does not follow is offered");
+    }
+    assert_eq!(pair.replica.in_force(), before);
+    pair.replica.receive(pair.now, last);
+    pair.accept_all();
+    pair.settle(|message| vec![message]);
+    assert!(pair.agrees(&Scope::All));
+}
+
+#[test]
+fn a_change_cut_at_any_byte_or_with_any_byte_changed_is_not_taken_for_another() {
+    let mut pair = Pair::new(10, Scope::All);
+    change(&mut pair.source, 3, 5.25);
+    pair.now += 1;
+    let message = pair.down().into_iter().find(|m| matches!(m, Publication::Change(_))).expect("the change");
+    let text = serde_json::to_string(&message).expect("JSON");
+    for cut in 0..text.len() {
+        assert!(serde_json::from_str::<Publication>(&text[..cut]).is_err(), "cut at {cut}");
+    }
+    let mut refused = 0;
+    for place in 0..text.len() {
+        let mut bytes = text.clone().into_bytes();
+        bytes[place] = if bytes[place] == b'1' { b'2' } else { b'1' };
+        let Ok(spoilt) = serde_json::from_slice::<Publication>(&bytes) else { continue };
+        if spoilt == message {
+            continue;
+        }
+        refused += 1;
+        pair.replica.receive(pair.now, spoilt);
+        assert_eq!(pair.replica.poll_offer(), None, "byte {place}: {}", String::from_utf8_lossy(&bytes));
+    }
+    assert!(refused > 50, "{refused} spoilt changes could be read at all");
+    pair.replica.receive(pair.now, message);
+    assert!(pair.replica.poll_offer().is_some(), "the good one counts");
+}
+
+#[test]
+fn a_spoilt_piece_of_a_snapshot_is_asked_for_again() {
+    let mut spoilt = 0;
+    let mut pair = Pair { now: 0, source: source(100), replica: Replica::new("n0", Scope::All, 1, 1, 0) };
+    pair.settle(|message| match message {
+        Publication::Piece(mut piece) if piece.index == 4 && spoilt < 3 => {
+            spoilt += 1;
+            piece.entries.pop();
+            vec![Publication::Piece(piece)]
+        }
+        other => vec![other],
+    });
+    assert_eq!(spoilt, 3);
+    assert!(pair.agrees(&Scope::All));
+}
+
+#[test]
+fn where_the_log_is_cut_a_snapshot_in_bounded_pieces_takes_its_place() {
+    let mut pair = Pair::new(100, Scope::All);
+    pair.settle(|_| vec![]);
+    for n in 0..80 {
+        change(&mut pair.source, n, 7.0);
+    }
+    let mut pieces = 0;
+    pair.settle(|message| {
+        if let Publication::Piece(piece) = &message {
+            pieces += 1;
+            assert!(piece.entries.len() <= settings().piece_entries);
+        }
+        vec![message]
+    });
+    assert!(pieces >= 11, "{pieces} pieces");
+    assert!(pair.agrees(&Scope::All));
+}
+
+#[test]
+fn changes_under_a_snapshot_follow_it() {
+    let mut pair = Pair { now: 0, source: source(100), replica: Replica::new("n0", Scope::All, 1, 1, 0) };
+    let mut next = 0;
+    for _ in 0..200 {
+        pair.now += 10;
+        pair.replica.tick(pair.now);
+        pair.up();
+        // One message at a time, and a change between any two.
+        if let Some((to, publication)) = pair.source.poll_transmit(pair.now) {
+            pair.source.taken(to, 1);
+            pair.replica.receive(pair.now, publication);
+        }
+        if next < 40 {
+            change(&mut pair.source, next, 3.0);
+            next += 1;
+        }
+        pair.accept_all();
+    }
+    pair.settle(|message| vec![message]);
+    assert!(pair.agrees(&Scope::All));
+}
+
+#[test]
+fn what_was_turned_down_does_not_count_and_counts_once_a_later_change_has_mended_it() {
+    let mut pair = Pair::new(10, Scope::All);
+    let good = pair.replica.in_force();
+    let bad = change(&mut pair.source, 1, 666.0);
+    pair.now += 1;
+    for message in pair.down() {
+        pair.replica.receive(pair.now, message);
+    }
+    let offer = pair.replica.poll_offer().expect("offered");
+    assert_eq!(offer.version, bad.version);
+    pair.replica.reject(pair.now, offer.version, "too many".into());
+    assert_eq!(pair.replica.in_force(), good);
+    assert_eq!(pair.replica.poll_offer(), None, "not offered again by itself");
+    pair.up();
+    assert_eq!(pair.source.summary().rejections.len(), 1);
+    let untouched = change(&mut pair.source, 2, 3.0);
+    pair.now += 1;
+    for message in pair.down() {
+        pair.replica.receive(pair.now, message);
+    }
+    let offer = pair.replica.poll_offer().expect("with what came after it");
+    assert_eq!((offer.version, offer.changes.len()), (untouched.version, 2), "the bad one is still in it");
+    pair.replica.reject(pair.now, offer.version, "too many".into());
+    let mended = change(&mut pair.source, 1, 6.0);
+    pair.now += 1;
+    for message in pair.down() {
+        pair.replica.receive(pair.now, message);
+    }
+    let offer = pair.replica.poll_offer().expect("mended");
+    assert_eq!((offer.version, offer.changes.len()), (mended.version, 2));
+    pair.replica.accept(pair.now, offer);
+    assert!(pair.agrees(&Scope::All) && pair.replica.rejected().is_none());
+    pair.up();
+    assert!(pair.source.summary().rejections.is_empty());
+}
+
+#[test]
+fn a_source_with_an_older_log_leads_nobody_backwards_until_a_new_epoch() {
+    let mut pair = Pair::new(10, Scope::All);
+    for n in 0..5 {
+        change(&mut pair.source, n, 5.0);
+    }
+    pair.settle(|message| vec![message]);
+    let (later, kept) = (pair.replica.in_force(), pair.replica.resources().clone());
+    pair.source = source(10);
+    change(&mut pair.source, 9, 1.5);
+    pair.settle(|message| vec![message]);
+    assert_eq!((pair.replica.in_force(), pair.replica.resources()), (later, &kept));
+    assert_eq!(pair.replica.behind(), Some(Version { epoch: 1, number: 1 }));
+    pair.source.begin_epoch();
+    pair.settle(|message| vec![message]);
+    assert!(pair.agrees(&Scope::All), "by an operator's word");
+    assert_eq!(pair.replica.in_force(), Some(Version { epoch: 2, number: 0 }));
+}
+
+#[test]
+fn a_slow_subscriber_costs_the_others_nothing() {
+    let mut feed = Feed::new(settings(), Currency::Source, 0);
+    feed.replace(
+        Position { version: Version { epoch: 1, number: 0 }, digest: Digest::default() },
+        Resources::default(),
+    );
+    let subscribe = || Request::Subscribe { name: "n".into(), from: None, resume: None, scope: Scope::All };
+    feed.receive(0, 1, subscribe());
+    feed.receive(0, 2, subscribe());
+    let mut sent = [0u32; 2];
+    for number in 0..200 {
+        let change = Change::following(feed.head(), vec![Operation::Put(tenant(number, 1.0, "a"))]);
+        feed.append(change).expect("it follows");
+        while let Some((to, publication)) = feed.poll_transmit(number as u64 + 1) {
+            if matches!(publication, Publication::Alive { .. }) {
+                continue;
+            }
+            sent[to as usize - 1] += 1;
+            // The first never takes anything off.
+            if to == 2 {
+                feed.taken(2, 1);
+            }
+        }
+    }
+    assert_eq!(sent[0], CREDIT);
+    assert!(sent[1] >= 200, "{sent:?}");
+    assert!(feed.log_len() <= settings().log_most);
+    feed.taken(1, CREDIT);
+    let next = std::iter::from_fn(|| feed.poll_transmit(1_000))
+        .find(|(to, p)| *to == 1 && !matches!(p, Publication::Alive { .. }));
+    assert!(matches!(next, Some((1, Publication::Piece(_)))), "the log is cut by then: {next:?}");
+}
+
+#[test]
+fn a_replica_that_is_cut_off_keeps_what_it_has_and_says_how_old_it_is() {
+    let mut pair = Pair::new(10, Scope::All);
+    let (now, in_force) = (pair.now, pair.replica.in_force());
+    assert!(pair.replica.age(now).is_some_and(|age| age < 600));
+    pair.now += 3_600_000;
+    pair.replica.tick(pair.now);
+    assert_eq!(pair.replica.in_force(), in_force);
+    assert!(pair.replica.age(pair.now).is_some_and(|age| age >= 3_600_000));
+}
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -610,19 +610,12 @@
         LIMITS.1 / self.crowd
     }
 
-    /// The order in which this node prefers the sorted `members`. All nodes fill the same table (as Maglev
-    /// does: each server in turn takes its next free place by its own order): all servers have as many places
-    /// and keep most when the list changes. Each node reads from its own place: an even cover of the fleet.
+    /// The order in which this node prefers the sorted `members`: an even cover of the fleet by all nodes.
     fn preference(&self, members: &[ServerId]) -> Vec<ServerId> {
         if self.subset_size(members.len()) == members.len() {
             return members.to_vec();
         }
-        let size = (SUBSET_LEAST * self.set.nodes).max(SUBSET_LEAST * members.len().next_power_of_two());
-        let table = table::fill(members, size, SUBSET_LEAST);
-        let own = self.set.number * size / self.set.nodes;
-        let mut seen = vec![false; members.len()];
-        let places = (own..size).chain(0..own).map(|place| table[place]);
-        places.filter(|m| !std::mem::replace(&mut seen[*m], true)).map(|m| members[m]).collect()
+        table::preference(members, self.set.number, self.set.nodes, SUBSET_LEAST)
     }
 
     /// Takes servers from the order until those that are not ejected make up enough warm ones: a subset of
--- a/crates/policy/src/table.rs
+++ b/crates/policy/src/table.rs
@@ -1,5 +1,5 @@
-//! A table of places, filled by members so that each has as many as any other and keeps most of them when members come
-//! or go: Maglev's. It decides nothing; whoever reads it chooses the size, and where to begin.
+//! The order in which each of many nodes prefers the same members, so that all nodes together cover them evenly and little
+//! changes when members come or go: a table of places as Maglev's, or for very many members the ring of their mixed ids.
 
 use crate::api::ServerId;
 
@@ -13,6 +13,29 @@
     z ^ (z >> 31)
 }
 
+/// From how many members on the order is the ring of their ids: to fill the table costs more than in proportion to its size,
+/// at each change of the list, while a window on the ring that moves by one member is a small part of a large one.
+pub const RING_FROM: usize = 2048;
+
+/// The order in which the node of that number, one of `nodes`, prefers the sorted `members`. All nodes fill the same table (each
+/// member in turn takes its next free place by its own order), so all members have as many places and keep most when the list
+/// changes; each node reads from its own place.
+pub fn preference(members: &[ServerId], number: usize, nodes: usize, block: usize) -> Vec<ServerId> {
+    if members.len() >= RING_FROM {
+        let (before, after) = members.split_at(number * members.len() / nodes);
+        return [after, before].concat();
+    }
+    let size = (block * nodes).max(block * members.len().next_power_of_two());
+    let table = fill(members, size, block);
+    let own = number * size / nodes;
+    let mut seen = vec![false; members.len()];
+    let places = (own..size).chain(0..own).map(|place| table[place]);
+    places
+        .filter(|member| !std::mem::replace(&mut seen[*member], true))
+        .map(|member| members[member])
+        .collect()
+}
+
 /// Fills a table of `size` places, at least as many as there are members: each member in turn takes its next free place by
 /// an order of its own, and not twice within a block of `block` places but where nothing else is left. A place holds its
 /// member's number in `members`.
@@ -70,6 +93,36 @@
         assert!(kept > 1024 * 8 / 10, "{kept} of 1024 places stay");
     }
 
+    /// How many of the nodes have each member among the first of their order.
+    fn covered(members: &[ServerId], nodes: usize, first: usize) -> Vec<usize> {
+        let mut count = vec![0; members.len()];
+        for number in 0..nodes {
+            for id in &preference(members, number, nodes, 2)[..first] {
+                count[members.binary_search(id).expect("a member")] += 1;
+            }
+        }
+        count
+    }
+
+    #[test]
+    fn very_many_members_are_covered_evenly_and_little_changes_when_one_goes() {
+        let mut all = members(RING_FROM as u64 + 500);
+        all.sort_unstable();
+        let (nodes, first) = (250, 80);
+        let covered = covered(&all, nodes, first);
+        let (least, most) = (covered.iter().min().expect("some"), covered.iter().max().expect("some"));
+        assert!(most - least <= 1, "{least} to {most} nodes for each member");
+        let before: Vec<Vec<ServerId>> = (0..nodes).map(|n| preference(&all, n, nodes, 2)).collect();
+        let gone = all.remove(777);
+        let mut changed = 0;
+        for (number, before) in before.iter().enumerate() {
+            let after = preference(&all, number, nodes, 2);
+            let is_kept = |id: &&ServerId| **id == gone || after[..first].contains(id);
+            changed += first - before[..first].iter().filter(is_kept).count();
+        }
+        assert!(changed * 50 < nodes * first, "{changed} of {} pairs changed", nodes * first);
+    }
+
     #[test]
     fn blocks_hold_each_member_once() {
         let table = fill(&members(60), 256, 2);
--- a/crates/scale/benches/scale.rs
+++ b/crates/scale/benches/scale.rs
@@ -4,17 +4,18 @@
 use std::process::ExitCode;
 
 use glenwood_scale::report::Report;
-use glenwood_scale::scenario::{custody, decisions, list, members, settings, usage};
+use glenwood_scale::scenario::{configuration, custody, decisions, list, members, settings, usage};
 
 type Scenario = (&'static str, fn(&mut Report));
 
-const SCENARIOS: [Scenario; 6] = [
+const SCENARIOS: [Scenario; 7] = [
     ("settings", |report| settings::run(report, &settings::SIZES)),
     ("list", |report| list::run(report, &list::SIZES)),
     ("decisions", decisions::run),
     ("members", |report| members::run(report, &members::SIZES)),
     ("usage", usage::run),
     ("custody", custody::run),
+    ("configuration", configuration::run),
 ];
 
 fn main() -> ExitCode {
--- a/crates/scale/src/scenario/mod.rs
+++ b/crates/scale/src/scenario/mod.rs
@@ -1,5 +1,6 @@
 //! What is measured: one module for each part of the product.
 
+pub mod configuration;
 pub mod custody;
 pub mod decisions;
 pub mod list;
