Configuration in versions on sockets: source and relays, the node's replica, glenctl configuration

The node: a table [configuration], off without it and in run; a replica that is offered what is new as a whole, tenants without a walk over the others, classes, servers as a second list; SIGHUP files under it. glenctl configuration push|status|begin-epoch. hub.rs is now hub/{mod,settings,servers}.rs. testkit: Node::reload.

--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -13,13 +13,15 @@
 //! - [`follower`]: a subscriber's side: gaps, silence, other publishers;
 //! - [`source`], [`relay`], [`replica`]: the three roles.
 //!
-//! Nothing here does I/O or reads a clock: each machine is told the time, in milliseconds, and what arrived, and says what to send.
+//! Nothing here does I/O or reads a clock, but for the module `net` (a feature of its own): each machine is told the time, in milliseconds, and what arrived, and says what to send.
 #![warn(missing_docs)]
 
 pub mod change;
 pub mod feed;
 pub mod follower;
 pub mod message;
+#[cfg(feature = "net")]
+pub mod net;
 pub mod relay;
 pub mod replica;
 pub mod resource;
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -4,7 +4,7 @@
 
 use glenwood_policy::{
     Action, Balancer, Earlier, Effect, Entry, Event, Millis, Outcome, RequestId, ServerId, Settings,
-    SettingsError,
+    SettingsError, TenantChange,
 };
 
 use crate::incoming::{Incoming, Token, ANSWER_MARGIN, GUARD_MARGIN};
@@ -254,6 +254,11 @@
         Ok(())
     }
 
+    /// Some tenants are otherwise from now on, and nothing else; see [`Event::Tenants`].
+    pub fn change_tenants(&mut self, now: Millis, changes: Vec<TenantChange>) {
+        self.feed(now, Event::Tenants(changes));
+    }
+
     /// Fails all that still await an answer, and calls their attempts off: the node ends, and an answer is better than
     /// a reset.
     pub fn fail_all(&mut self, now: Millis) {
--- a/crates/glenctl/src/main.rs
+++ b/crates/glenctl/src/main.rs
@@ -1,6 +1,7 @@
 //! `glenctl`: the operators' program.
 #![warn(missing_docs)]
 
+mod configuration;
 mod custody;
 mod demo;
 mod demo_fleet;
@@ -26,6 +27,8 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Pushes configuration in versions, and shows how far everybody is
+    Configuration(configuration::Arguments),
     /// Shows works in hand, who has them, and what became of those of lost nodes
     Custody(custody::Arguments),
     /// Runs two nodes between stand-ins of everything else, with a crash, a drain and a restart, and counts the rules
@@ -57,6 +60,9 @@
     /// Runs an agent in this process, as the program glenwood-agent does
     #[command(hide = true)]
     Agent(glenwood_agent::Arguments),
+    /// Runs a source or a relay of configuration in this process, as the program glenwood-configuration does
+    #[command(hide = true)]
+    Publisher(glenwood_publisher::Arguments),
     /// Runs one node in this process, as the program glenwood does
     #[command(hide = true)]
     Node {
@@ -73,6 +79,8 @@
             clap_complete::generate(shell, &mut Arguments::command(), "glenctl", &mut std::io::stdout());
             ExitCode::SUCCESS
         }
+        Command::Configuration(arguments) => configuration::run(arguments),
+        Command::Publisher(arguments) => glenwood_publisher::run(&arguments),
         Command::Fleet(arguments) => fleet::run(&arguments),
         Command::Agent(arguments) => glenwood_agent::run(&arguments),
         Command::Register(arguments) => register::run(arguments),
--- /dev/null
+++ b/crates/node/src/configuration/offer.rs
@@ -0,0 +1,158 @@
+//! What a node makes of an offer: changes of its settings, and entries of its list.
+
+use std::collections::HashMap;
+
+use glenwood_configuration::replica::Offer;
+use glenwood_configuration::resource::{self, Effect as Repeats, Server};
+use glenwood_configuration::resources::Resources;
+use glenwood_configuration::{Body, Entry, Key, Kind};
+use glenwood_list::{Dial, Health, Host, Protocol};
+use glenwood_policy::{Class, Effect, Group, Tenant};
+use glenwood_settings::NodeSettings;
+
+use crate::hub::{Hub, SettingsChange};
+
+/// What the configuration file says of tenants and classes that the replica has too: it counts again once they are removed there.
+#[derive(Clone, Debug, Default)]
+pub struct Base {
+    tenants: HashMap<String, Tenant>,
+    classes: HashMap<String, Class>,
+}
+
+/// An offer, ready to be taken over.
+pub struct Prepared {
+    /// What becomes of the settings.
+    pub settings: SettingsChange,
+    /// What becomes of the list.
+    pub hosts: Vec<Host>,
+    /// What the file says of what the replica has then.
+    pub base: Base,
+}
+
+fn class_of(class: &resource::Class) -> Class {
+    let effect = match class.effect {
+        Repeats::Safe => Effect::Safe,
+        Repeats::Keyed { memory_ms } => Effect::Keyed { group: Group::All, memory: memory_ms },
+        Repeats::Unsafe => Effect::Unsafe,
+    };
+    Class { aim: class.aim_ms, worth: class.worth, late_worth: 0.0, patience: class.deadline_ms, effect }
+}
+
+fn host_of(name: &str, server: &Server, health: Health) -> Host {
+    let dial = Dial { address: server.address, protocol: Protocol::Http1 };
+    Host { zone: server.zone.clone(), weight: server.weight, health, ..Host::active(name, dial) }
+}
+
+impl Base {
+    /// What a file that is read now says of what the replica has.
+    pub fn of(file: &NodeSettings, resources: &Resources) -> Self {
+        let mut base = Self::default();
+        let has = |kind: Kind, name: &String| resources.get(&Key { kind, name: name.clone() }).is_some();
+        for (name, tenant) in file.tenants.iter().zip(&file.policy.tenants) {
+            if has(Kind::Tenant, name) {
+                base.tenants.insert(name.clone(), tenant.clone());
+            }
+        }
+        for (name, class) in file.classes.iter().zip(&file.policy.classes) {
+            if has(Kind::Class, name) {
+                base.classes.insert(name.clone(), class.clone());
+            }
+        }
+        base
+    }
+
+    /// What becomes of a node that takes the offer over, where it has these resources in force.
+    ///
+    /// # Errors
+    /// Why it can't be taken over.
+    pub fn prepare(&self, hub: &Hub, in_force: &Resources, offer: &Offer) -> Result<Prepared, String> {
+        let mut prepared =
+            Prepared { settings: SettingsChange::default(), hosts: Vec::new(), base: self.clone() };
+        let settings = hub.settings();
+        for (key, entry) in &offer.changes {
+            let (name, before) = (&key.name, in_force.get(key));
+            let base = &mut prepared.base;
+            match (entry.as_ref().map(|entry| &entry.body), key.kind) {
+                (Some(Body::Tenant(tenant)), _) => {
+                    if let Some(seat) = hub.tenant(name).filter(|_| before.is_none()) {
+                        base.tenants.insert(name.clone(), settings.policy.tenants[seat.number].clone());
+                    }
+                    let tenant = Tenant { quota_per_s: tenant.quota_per_s };
+                    prepared.settings.tenants.push((name.clone(), Some(tenant)));
+                }
+                (None, Kind::Tenant) => {
+                    prepared.settings.tenants.push((name.clone(), base.tenants.remove(name)));
+                }
+                (Some(Body::Class(class)), _) => {
+                    if let Some(seat) = hub.class(name).filter(|_| before.is_none()) {
+                        base.classes.insert(name.clone(), settings.policy.classes[seat.number].clone());
+                    }
+                    prepared.settings.classes.push((name.clone(), Some(class_of(class))));
+                }
+                (None, Kind::Class) => {
+                    prepared.settings.classes.push((name.clone(), base.classes.remove(name)));
+                }
+                (Some(Body::Server(server)), _) => {
+                    prepared.hosts.push(host_of(name, server, Health::Active));
+                }
+                (None, Kind::Server) => prepared.hosts.extend(before.and_then(left)),
+                (Some(Body::Service(_)), _) | (None, Kind::Service) => {}
+            }
+        }
+        check_deadlines(hub, &prepared.settings)?;
+        Ok(prepared)
+    }
+}
+
+/// A server that is no more.
+fn left(entry: &Entry) -> Option<Host> {
+    match &entry.body {
+        Body::Server(server) => Some(host_of(&entry.name, server, Health::Left)),
+        _ => None,
+    }
+}
+
+/// Guarded work must outlive the longest deadline, as it is checked at the start.
+fn check_deadlines(hub: &Hub, change: &SettingsChange) -> Result<(), String> {
+    let Some(custody) = &hub.config.operator.custody else { return Ok(()) };
+    let most = custody.life_ms as f64 / 2.0;
+    let too_long = change.classes.iter().find(|(_, class)| class.as_ref().is_some_and(|c| c.patience > most));
+    match too_long {
+        Some((name, _)) => {
+            Err(format!("class {name}: a deadline of {most} ms at most expected, by custody.life_ms"))
+        }
+        None => Ok(()),
+    }
+}
+
+/// Lays the tenants and classes of the replica over those of a file.
+pub fn lay_over(settings: &mut NodeSettings, resources: &Resources) {
+    let places = |names: &[String]| -> HashMap<String, usize> {
+        names.iter().enumerate().map(|(place, name)| (name.clone(), place)).collect()
+    };
+    let (tenants, classes) = (places(&settings.tenants), places(&settings.classes));
+    for (key, entry) in resources.iter() {
+        match &entry.body {
+            Body::Tenant(tenant) => {
+                let tenant = Tenant { quota_per_s: tenant.quota_per_s };
+                match tenants.get(&key.name) {
+                    Some(place) => settings.policy.tenants[*place] = tenant,
+                    None => {
+                        settings.tenants.push(key.name.clone());
+                        settings.policy.tenants.push(tenant);
+                    }
+                }
+            }
+            Body::Class(class) => match classes.get(&key.name) {
+                Some(place) => settings.policy.classes[*place] = class_of(class),
+                None => {
+                    settings.classes.push(key.name.clone());
+                    settings.policy.classes.push(class_of(class));
+                }
+            },
+            Body::Service(_) | Body::Server(_) => {}
+        }
+    }
+    let deadlines = settings.policy.classes.iter().map(|class| class.patience);
+    settings.longest_deadline = deadlines.fold(0.0, f64::max);
+}
--- /dev/null
+++ b/crates/node/src/configuration/table.rs
@@ -0,0 +1,54 @@
+//! The table `configuration` of the operator's file.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use glenwood_configuration::resource::check_name;
+use glenwood_configuration::Scope;
+use glenwood_fields::{Fields, Value};
+
+/// The most publishers that a node may follow.
+const PUBLISHERS_MOST: usize = 64;
+/// The most services that a node may serve.
+const SERVICES_MOST: usize = 4096;
+
+/// What the operator's file says of configuration in versions.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Table {
+    /// Publishers to follow, the nearest first, 1 to 64.
+    pub publishers: Vec<SocketAddr>,
+    /// What this node wants of the configuration.
+    pub scope: Scope,
+}
+
+impl Table {
+    /// Reads the table.
+    ///
+    /// # Errors
+    /// The field and the reason.
+    pub fn take(mut f: Fields) -> Result<Self, String> {
+        let addresses = |value: Value| {
+            let address = |value: &Value| value.as_str()?.parse().ok();
+            value.as_array()?.iter().map(address).collect::<Option<Vec<SocketAddr>>>()
+        };
+        let publishers = f.need("publishers", "a list of IP addresses and ports", addresses)?;
+        let all = f.switch("all")?;
+        let services = f.names("services")?;
+        let name = f.name("services");
+        if publishers.is_empty() || publishers.len() > PUBLISHERS_MOST {
+            let field = f.name("publishers");
+            return Err(format!("{field}: 1 to {PUBLISHERS_MOST} expected, not {}", publishers.len()));
+        }
+        if all != services.is_empty() {
+            return Err(format!("{name}: services by name expected, or all = true, and not both"));
+        }
+        if services.len() > SERVICES_MOST {
+            return Err(format!("{name}: {SERVICES_MOST} at most expected, not {}", services.len()));
+        }
+        services.iter().try_for_each(|service| check_name(&name, service))?;
+        f.end()?;
+        let scope =
+            if all { Scope::All } else { Scope::Services(services.into_iter().collect::<BTreeSet<_>>()) };
+        Ok(Self { publishers, scope })
+    }
+}
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub/mod.rs
@@ -1,6 +1,9 @@
 //! The owner of the core: it moves the core's outputs to fronts, backends and discovery, and their reports back. It
 //! knows none of them by name; see [`Outside`].
 
+mod servers;
+mod settings;
+
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -10,17 +13,19 @@
 use glenwood_list::{Merge, Source, Succession};
 use glenwood_operation::budget::Budget;
 use glenwood_operation::figures::{End, Shared, Ticket};
-use glenwood_operation::places::{Place as Seat, Places, Turn};
+use glenwood_operation::places::{Place as Seat, Places};
 use glenwood_policy::{Millis, Outcome, RequestId, ServerId, SettingsError};
 use glenwood_settings::NodeSettings;
 use glenwood_trace::{Answer, Doing, Record};
 use tokio::sync::Notify;
 
 use crate::call::{Call, Reply};
+pub use settings::{Overlay, SettingsChange};
+
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::inspect::Stage;
-use crate::list::{Host, Place, Servers, Update};
+use crate::list::{Place, Servers, Update};
 use crate::log;
 use crate::usage::Shares;
 
@@ -93,15 +98,6 @@
     }
 }
 
-/// What stands in each place: of those that vanished, what stood there before.
-fn seated<T: Clone>(turns: &[Turn], old: &[T], new: &[T]) -> Vec<T> {
-    let of = |(place, turn): (usize, &Turn)| match turn {
-        Turn::Stays(n) | Turn::Begins(n) => new[*n].clone(),
-        Turn::Vanished => old[place].clone(),
-    };
-    turns.iter().enumerate().map(of).collect()
-}
-
 fn word(answer: &Final<Reply>) -> Answer {
     match answer {
         Final::Served(_) => Answer::Served,
@@ -154,6 +150,8 @@
     counts: Cell<Counts>,
     outside: OnceCell<Rc<dyn Outside>>,
     gate: OnceCell<Rc<dyn Gate>>,
+    /// What lays changes of the settings over a file's.
+    overlay: OnceCell<Rc<dyn Overlay>>,
     /// Attempts that are over at their servers, to be told when the core can hear it.
     left: RefCell<Vec<AttemptId>>,
     /// Outputs are being moved: what they bring about waits its turn.
@@ -193,7 +191,7 @@
             core: RefCell::new(core),
             waiters: RefCell::default(),
             servers: RefCell::new(Servers::new(config.operator.marks())),
-            merge: config.operator.registrations.as_ref().map(|_| RefCell::default()),
+            merge: config.operator.has_second_list().then(RefCell::default),
             succession: RefCell::default(),
             version: Cell::new(None),
             informed: Cell::new(false),
@@ -202,6 +200,7 @@
             counts: Cell::default(),
             outside: OnceCell::new(),
             gate: OnceCell::new(),
+            overlay: OnceCell::new(),
             left: RefCell::default(),
             moving: Cell::new(false),
             armed: Cell::new(None),
@@ -378,47 +377,6 @@
         self.figures.take(&class.name)
     }
 
-    /// The settings that count now; classes and tenants stand in them by their places.
-    pub fn settings(&self) -> Rc<NodeSettings> {
-        self.settings.borrow().clone()
-    }
-
-    /// The class of that name, if the settings have it.
-    pub fn class(&self, name: &str) -> Option<Seat> {
-        self.classes.borrow().find(name)
-    }
-
-    /// The tenant of that name, if the settings have it.
-    pub fn tenant(&self, name: &str) -> Option<Seat> {
-        self.tenants.borrow().find(name)
-    }
-
-    /// Takes new settings over, whole or not at all. What was read of a request before keeps the place of its class.
-    ///
-    /// # Errors
-    /// Where the module would refuse them.
-    pub fn new_settings(&self, mut new: NodeSettings) -> Result<(), SettingsError> {
-        new.policy.check()?;
-        let old = self.settings();
-        let tenant_names = std::mem::take(&mut new.tenants);
-        // How the list comes is what the node is made of: that waits for the next start.
-        new.policy.discovery = old.policy.discovery;
-        self.figures.with(|figures| figures.have_classes(new.classes.iter().map(String::as_str)));
-        let classes = self.classes.borrow_mut().follow(&new.classes);
-        let tenants = self.tenants.borrow_mut().follow(&tenant_names);
-        new.policy.classes = seated(&classes, &old.policy.classes, &new.policy.classes);
-        new.policy.tenants = seated(&tenants, &old.policy.tenants, &new.policy.tenants);
-        let anew = |turns: &[Turn]| turns.iter().map(|turn| !matches!(turn, Turn::Stays(_))).collect();
-        if let Some(shares) = &self.shares {
-            let places = self.tenants.borrow();
-            let name = |place: usize| places.name(place).map_or_else(String::new, |name| name.to_string());
-            shares.follow(&(0..new.policy.tenants.len()).map(name).collect::<Vec<_>>(), &new);
-        }
-        let (classes, tenants, policy) = (anew(&classes), anew(&tenants), new.policy.clone());
-        self.settings.replace(Rc::new(new));
-        self.tell(|core, now| core.new_settings(now, policy, classes, tenants))
-    }
-
     /// Writes down what is not counted as it happens.
     pub fn show(&self) {
         let (ready, listed) = (self.ready() && self.listening.get(), self.listed_servers() as u64);
@@ -570,107 +528,4 @@
     pub fn place(&self, server: ServerId) -> Option<Place> {
         self.servers.borrow().place(server)
     }
-
-    // ---- Discovery ----
-
-    /// Discovery is at another address from now on. The list is kept; its version may mean nothing there, so the
-    /// whole is asked for, at once. Ending the old call first keeps its late lines out.
-    pub fn discovery_moved(&self) {
-        self.succession.borrow_mut().restart();
-        self.version.set(None);
-        if let Some(outside) = self.outside.get() {
-            outside.unsubscribe();
-        }
-        self.tell(|core, now| core.discovery_moved(now));
-    }
-
-    /// The version to watch from; `None` where the whole list is needed first.
-    pub fn version(&self) -> Option<u64> {
-        self.version.get()
-    }
-
-    /// What was read last can't be trusted to follow on what the node has.
-    pub fn forget_version(&self) {
-        self.version.set(None);
-    }
-
-    /// The call to discovery failed, or its watch ended. The same words again are not logged until it has been heard: an
-    /// agent that is down for hours is asked three times a second.
-    pub fn discovery_failed(&self, words: &str, answering: bool, told_in: Option<Duration>) {
-        if self.discovery_words.borrow().as_str() != words {
-            log::line(format!("discovery: {words}"));
-            *self.discovery_words.borrow_mut() = words.to_string();
-        }
-        self.trace(|_| Doing::CallFailed);
-        let told_in = told_in.map(|span| span.as_secs_f64() * 1000.0);
-        self.tell(|core, now| core.list_failed(now, answering, told_in));
-    }
-
-    /// The watch stands, with no news.
-    pub fn discovery_alive(&self) {
-        self.discovery_words.borrow_mut().clear();
-        self.list_heard.set(Some(Instant::now()));
-        if !self.informed.replace(true) {
-            self.tell(|core, now| core.list_changed(now, Vec::new()));
-            self.show();
-        }
-    }
-
-    /// Discovery has brought a list, or changes.
-    ///
-    /// # Errors
-    /// Says what can't be so; nothing changes then.
-    pub fn listed(&self, update: Update) -> Result<(), String> {
-        // Where servers register as well, discovery may have none left.
-        let known = if self.merge.is_some() { 0 } else { self.servers.borrow().len() };
-        self.succession.borrow_mut().take(&update, known)?;
-        self.discovery_words.borrow_mut().clear();
-        self.list_heard.set(Some(Instant::now()));
-        self.informed.set(true);
-        self.trace(|_| Doing::List { whole: update.whole, entries: update.hosts.len() });
-        self.take_list(Source::Discovery, update, false);
-        Ok(())
-    }
-
-    // ---- Registrations ----
-
-    /// Registrations have changed, or are all there are; `saved` for those of before the node's start.
-    pub fn registered(&self, whole: bool, hosts: Vec<Host>, saved: bool) {
-        if !saved {
-            self.informed.set(true);
-            self.list_heard.set(Some(Instant::now()));
-        }
-        self.take_list(Source::Registrations, Update { version: 0, whole, hosts }, saved);
-    }
-
-    /// Was the server of that name seen to answer within the last so many milliseconds, and not to fail since?
-    pub fn answers(&self, name: &str, within: Millis) -> bool {
-        let answered = self.servers.borrow().answered(name);
-        answered.is_some_and(|at| self.clock.now() - at <= within)
-    }
-
-    fn take_list(&self, source: Source, update: Update, saved: bool) {
-        if source == Source::Discovery {
-            self.version.set(Some(update.version));
-        }
-        let update = match &self.merge {
-            Some(merge) => merge.borrow_mut().take(source, update),
-            None => update,
-        };
-        let whole = update.whole;
-        let (entries, stale) = self.servers.borrow_mut().take(update, &self.clock);
-        if let Some(outside) = self.outside.get() {
-            stale.into_iter().for_each(|server| outside.forget(server));
-        }
-        self.tell(|core, now| {
-            if whole {
-                core.list(now, entries, saved);
-            } else if source == Source::Discovery {
-                core.list_changed(now, entries);
-            } else {
-                core.list_news(now, entries);
-            }
-        });
-        self.show();
-    }
 }
--- /dev/null
+++ b/crates/node/src/hub/servers.rs
@@ -0,0 +1,122 @@
+//! The list of servers at the hub: what discovery, registrations and configuration bring.
+
+use std::time::{Duration, Instant};
+
+use glenwood_list::Source;
+use glenwood_policy::Millis;
+use glenwood_trace::Doing;
+
+use super::Hub;
+use crate::list::{Host, Update};
+use crate::log;
+
+impl Hub {
+    // ---- Discovery ----
+
+    /// Discovery is at another address from now on. The list is kept; its version may mean nothing there, so the
+    /// whole is asked for, at once. Ending the old call first keeps its late lines out.
+    pub fn discovery_moved(&self) {
+        self.succession.borrow_mut().restart();
+        self.version.set(None);
+        if let Some(outside) = self.outside.get() {
+            outside.unsubscribe();
+        }
+        self.tell(|core, now| core.discovery_moved(now));
+    }
+
+    /// The version to watch from; `None` where the whole list is needed first.
+    pub fn version(&self) -> Option<u64> {
+        self.version.get()
+    }
+
+    /// What was read last can't be trusted to follow on what the node has.
+    pub fn forget_version(&self) {
+        self.version.set(None);
+    }
+
+    /// The call to discovery failed, or its watch ended. The same words again are not logged until it has been heard: an
+    /// agent that is down for hours is asked three times a second.
+    pub fn discovery_failed(&self, words: &str, answering: bool, told_in: Option<Duration>) {
+        if self.discovery_words.borrow().as_str() != words {
+            log::line(format!("discovery: {words}"));
+            *self.discovery_words.borrow_mut() = words.to_string();
+        }
+        self.trace(|_| Doing::CallFailed);
+        let told_in = told_in.map(|span| span.as_secs_f64() * 1000.0);
+        self.tell(|core, now| core.list_failed(now, answering, told_in));
+    }
+
+    /// The watch stands, with no news.
+    pub fn discovery_alive(&self) {
+        self.discovery_words.borrow_mut().clear();
+        self.list_heard.set(Some(Instant::now()));
+        if !self.informed.replace(true) {
+            self.tell(|core, now| core.list_changed(now, Vec::new()));
+            self.show();
+        }
+    }
+
+    /// Discovery has brought a list, or changes.
+    ///
+    /// # Errors
+    /// Says what can't be so; nothing changes then.
+    pub fn listed(&self, update: Update) -> Result<(), String> {
+        // Where servers register as well, discovery may have none left.
+        let known = if self.merge.is_some() { 0 } else { self.servers.borrow().len() };
+        self.succession.borrow_mut().take(&update, known)?;
+        self.discovery_words.borrow_mut().clear();
+        self.list_heard.set(Some(Instant::now()));
+        self.informed.set(true);
+        self.trace(|_| Doing::List { whole: update.whole, entries: update.hosts.len() });
+        self.take_list(Source::Discovery, update, false);
+        Ok(())
+    }
+
+    // ---- Registrations ----
+
+    /// Registrations have changed, or are all there are; `saved` for those of before the node's start.
+    pub fn registered(&self, whole: bool, hosts: Vec<Host>, saved: bool) {
+        if !saved {
+            self.informed.set(true);
+            self.list_heard.set(Some(Instant::now()));
+        }
+        self.take_list(Source::Registrations, Update { version: 0, whole, hosts }, saved);
+    }
+
+    /// Configuration has brought servers, or taken them out.
+    pub fn configured_servers(&self, hosts: Vec<Host>) {
+        self.informed.set(true);
+        self.take_list(Source::Registrations, Update { version: 0, whole: false, hosts }, false);
+    }
+
+    /// Was the server of that name seen to answer within the last so many milliseconds, and not to fail since?
+    pub fn answers(&self, name: &str, within: Millis) -> bool {
+        let answered = self.servers.borrow().answered(name);
+        answered.is_some_and(|at| self.clock.now() - at <= within)
+    }
+
+    pub(super) fn take_list(&self, source: Source, update: Update, saved: bool) {
+        if source == Source::Discovery {
+            self.version.set(Some(update.version));
+        }
+        let update = match &self.merge {
+            Some(merge) => merge.borrow_mut().take(source, update),
+            None => update,
+        };
+        let whole = update.whole;
+        let (entries, stale) = self.servers.borrow_mut().take(update, &self.clock);
+        if let Some(outside) = self.outside.get() {
+            stale.into_iter().for_each(|server| outside.forget(server));
+        }
+        self.tell(|core, now| {
+            if whole {
+                core.list(now, entries, saved);
+            } else if source == Source::Discovery {
+                core.list_changed(now, entries);
+            } else {
+                core.list_news(now, entries);
+            }
+        });
+        self.show();
+    }
+}
--- /dev/null
+++ b/crates/node/src/hub/settings.rs
@@ -0,0 +1,148 @@
+//! The settings that count at a node, and how they change under requests that are open.
+
+use std::rc::Rc;
+
+use glenwood_operation::places::{Place as Seat, Turn};
+use glenwood_policy::{Class, SettingsError, Tenant, TenantChange};
+use glenwood_settings::NodeSettings;
+
+use super::Hub;
+
+/// What changes the settings that a file says: it goes before the file.
+pub trait Overlay {
+    /// Lays what it has over settings that a file has brought.
+    fn lay_over(&self, settings: &mut NodeSettings);
+}
+
+/// Some classes and tenants that are otherwise; `None` for those that are no more.
+#[derive(Debug, Default)]
+pub struct SettingsChange {
+    /// Classes by name.
+    pub classes: Vec<(String, Option<Class>)>,
+    /// Tenants by name.
+    pub tenants: Vec<(String, Option<Tenant>)>,
+}
+
+/// What stands in each place: of those that vanished, what stood there before.
+fn seated<T: Clone>(turns: &[Turn], old: &[T], new: &[T]) -> Vec<T> {
+    let of = |(place, turn): (usize, &Turn)| match turn {
+        Turn::Stays(n) | Turn::Begins(n) => new[*n].clone(),
+        Turn::Vanished => old[place].clone(),
+    };
+    turns.iter().enumerate().map(of).collect()
+}
+
+impl Hub {
+    /// The settings that count now; classes and tenants stand in them by their places.
+    pub fn settings(&self) -> Rc<NodeSettings> {
+        self.settings.borrow().clone()
+    }
+
+    /// The class of that name, if the settings have it.
+    pub fn class(&self, name: &str) -> Option<Seat> {
+        self.classes.borrow().find(name)
+    }
+
+    /// The tenant of that name, if the settings have it.
+    pub fn tenant(&self, name: &str) -> Option<Seat> {
+        self.tenants.borrow().find(name)
+    }
+
+    /// Takes new settings over, whole or not at all. What was read of a request before keeps the place of its class.
+    ///
+    /// # Errors
+    /// Where the module would refuse them.
+    pub fn new_settings(&self, mut new: NodeSettings) -> Result<(), SettingsError> {
+        if let Some(overlay) = self.overlay.get() {
+            overlay.lay_over(&mut new);
+        }
+        new.policy.check()?;
+        let old = self.settings();
+        let tenant_names = std::mem::take(&mut new.tenants);
+        // How the list comes is what the node is made of: that waits for the next start.
+        new.policy.discovery = old.policy.discovery;
+        self.figures.with(|figures| figures.have_classes(new.classes.iter().map(String::as_str)));
+        let classes = self.classes.borrow_mut().follow(&new.classes);
+        let tenants = self.tenants.borrow_mut().follow(&tenant_names);
+        new.policy.classes = seated(&classes, &old.policy.classes, &new.policy.classes);
+        new.policy.tenants = seated(&tenants, &old.policy.tenants, &new.policy.tenants);
+        let anew = |turns: &[Turn]| turns.iter().map(|turn| !matches!(turn, Turn::Stays(_))).collect();
+        if let Some(shares) = &self.shares {
+            let places = self.tenants.borrow();
+            let name = |place: usize| places.name(place).map_or_else(String::new, |name| name.to_string());
+            shares.follow(&(0..new.policy.tenants.len()).map(name).collect::<Vec<_>>(), &new);
+        }
+        let (classes, tenants, policy) = (anew(&classes), anew(&tenants), new.policy.clone());
+        self.settings.replace(Rc::new(new));
+        self.tell(|core, now| core.new_settings(now, policy, classes, tenants))
+    }
+
+    /// From now on this is laid over whatever a file says. To be called once.
+    pub fn set_overlay(&self, overlay: Rc<dyn Overlay>) {
+        let _ = self.overlay.set(overlay);
+    }
+
+    /// Takes a change over, whole or not at all, at a cost that does not grow with the tenants that stay. What was read of a
+    /// request before keeps the place of its class and tenant.
+    ///
+    /// # Errors
+    /// Where the module would refuse the classes.
+    pub fn change_settings(&self, change: SettingsChange) -> Result<(), SettingsError> {
+        if !change.classes.is_empty() {
+            // Nothing that comes after it can fail.
+            self.change_classes(change.classes)?;
+        }
+        if !change.tenants.is_empty() {
+            self.change_tenants(change.tenants);
+        }
+        Ok(())
+    }
+
+    fn change_classes(&self, changes: Vec<(String, Option<Class>)>) -> Result<(), SettingsError> {
+        let old = self.settings();
+        let mut new = (*old).clone();
+        let value =
+            |name: &String| Some((name.clone(), old.policy.classes[self.class(name)?.number].clone()));
+        let mut classes: Vec<(String, Class)> = old.classes.iter().filter_map(value).collect();
+        for (name, class) in changes {
+            let place = classes.iter().position(|(other, _)| *other == name);
+            match (class, place) {
+                (Some(class), Some(place)) => classes[place].1 = class,
+                (Some(class), None) => classes.push((name, class)),
+                (None, Some(place)) => drop(classes.remove(place)),
+                (None, None) => {}
+            }
+        }
+        new.longest_deadline = classes.iter().map(|(_, class)| class.patience).fold(0.0, f64::max);
+        (new.classes, new.policy.classes) = classes.into_iter().unzip();
+        new.policy.check()?;
+        self.figures.with(|figures| figures.have_classes(new.classes.iter().map(String::as_str)));
+        let turns = self.classes.borrow_mut().follow(&new.classes);
+        new.policy.classes = seated(&turns, &old.policy.classes, &new.policy.classes);
+        let anew = turns.iter().map(|turn| !matches!(turn, Turn::Stays(_))).collect();
+        let (policy, tenants) = (new.policy.clone(), vec![false; new.policy.tenants.len()]);
+        self.settings.replace(Rc::new(new));
+        self.tell(|core, now| core.new_settings(now, policy, anew, tenants))
+    }
+
+    fn change_tenants(&self, changes: Vec<(String, Option<Tenant>)>) {
+        let changes = {
+            let mut settings = self.settings.borrow_mut();
+            let known = &mut Rc::make_mut(&mut settings).policy.tenants;
+            let mut places = self.tenants.borrow_mut();
+            let mut taken = Vec::new();
+            for (name, tenant) in changes {
+                let Some(tenant) = tenant else {
+                    places.remove(&name);
+                    continue;
+                };
+                let (place, anew) = places.insert(&name);
+                known.splice(place..known.len().min(place + 1), [tenant.clone()]);
+                self.shares.iter().for_each(|shares| shares.allow(place, &name, &tenant));
+                taken.push(TenantChange { place, tenant, anew });
+            }
+            taken
+        };
+        self.tell(|core, now| core.change_tenants(now, changes));
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod call;
 pub mod clock;
 pub mod config;
+pub mod configuration;
 pub mod custody;
 pub mod discovery;
 pub mod door;
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -7,6 +7,7 @@
 use glenwood_coordination::guard::HOLD_MOST;
 use glenwood_fields::{Fields, Value};
 
+use crate::configuration;
 use crate::custody;
 use crate::list::Marks;
 use crate::members;
@@ -36,6 +37,8 @@
     pub usage: Option<Sharing>,
     /// The node knows the others, if it does.
     pub members: Option<members::Told>,
+    /// Configuration comes in versions from publishers, if it does.
+    pub configuration: Option<configuration::Table>,
     /// Works are guarded against the loss of their node, if they are.
     pub custody: Option<custody::Told>,
 }
@@ -181,6 +184,7 @@
             trace: false,
             usage: None,
             members: None,
+            configuration: None,
             custody: None,
         }
     }
@@ -192,6 +196,11 @@
         !self.registrations.as_ref().is_some_and(|r| r.alone)
     }
 
+    /// Does the list come from another source beside discovery?
+    pub fn has_second_list(&self) -> bool {
+        self.registrations.is_some() || self.configuration.is_some()
+    }
+
     /// Reads the file.
     ///
     /// # Errors
@@ -229,8 +238,13 @@
         let usage = top.table("usage")?.map(Sharing::take).transpose()?;
         let members = top.table("members")?.map(members::Told::take).transpose()?;
         let custody = top.table("custody")?.map(custody::Told::take).transpose()?;
+        let configuration = top.table("configuration")?.map(configuration::Table::take).transpose()?;
         top.end()?;
-        let default = Self { registrations, inspect, trace, usage, members, custody, ..Self::default() };
+        if registrations.is_some() && configuration.is_some() {
+            return Err("configuration: not beside registrations, as both bring servers".to_string());
+        }
+        let default =
+            Self { registrations, inspect, trace, usage, members, configuration, custody, ..Self::default() };
         let Some(mut f) = msgpack else { return Ok(default) };
         let operator = Self {
             msgpack_listen: f.address("listen")?,
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -18,6 +18,7 @@
 use crate::call::{Call, BODY_MOST};
 use crate::clock::Clock;
 use crate::config::{self, Config, FileFields};
+use crate::configuration::Configuration;
 use crate::custody::{Custody, Guarded};
 use crate::discovery;
 use crate::door;
@@ -242,6 +243,11 @@
         spawn_local(custody.clone().run());
         parts.push(custody.clone());
     }
+    if let Some(configuration) = Configuration::new(&hub) {
+        hub.set_overlay(configuration.clone());
+        spawn_local(configuration.clone().run());
+        parts.push(configuration);
+    }
     if hub.config.mgmt.is_some() {
         spawn_local(show(hub.clone(), parts.clone()));
     }
--- a/crates/node/src/usage.rs
+++ b/crates/node/src/usage.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use glenwood_policy::Tenant;
 use glenwood_settings::NodeSettings;
 use glenwood_usage::wire::LONGEST;
 use glenwood_usage::{Boot, Datagram, Explained, Key, Peers, Share, Usage};
@@ -90,7 +91,7 @@
     /// The tenants that there are, by their places, and what they are allowed.
     pub fn follow(&self, names: &[String], settings: &NodeSettings) {
         let mut machine = self.machine.borrow_mut();
-        let one = |(name, tenant): (&String, &glenwood_policy::Tenant)| {
+        let one = |(name, tenant): (&String, &Tenant)| {
             let allowed = tenant.quota_per_s * self.window_ms as f64 / 1000.0;
             (name.clone(), machine.allow(key_of(name), allowed.clamp(0.0, f64::from(u32::MAX)) as u32))
         };
@@ -98,6 +99,16 @@
         self.tenants.replace(all);
     }
 
+    /// The tenant at this place, which is there already or is the next one, is allowed this much.
+    pub fn allow(&self, place: usize, name: &str, tenant: &Tenant) {
+        let allowed = tenant.quota_per_s * self.window_ms as f64 / 1000.0;
+        let allowed = allowed.clamp(0.0, f64::from(u32::MAX)) as u32;
+        let handle = self.machine.borrow_mut().allow(key_of(name), allowed);
+        let mut tenants = self.tenants.borrow_mut();
+        let end = tenants.len().min(place + 1);
+        tenants.splice(place..end, [(name.to_string(), handle)]);
+    }
+
     /// Counts a request of the tenant at this place: is it within its share? `None` where this process does not count.
     pub fn within(&self, tenant: usize) -> Option<bool> {
         let handle = self.tenants.borrow().get(tenant)?.1;
--- a/crates/operation/src/places.rs
+++ b/crates/operation/src/places.rs
@@ -1,6 +1,6 @@
 //! Places of named things: numbers that stay while anything refers to them, through any change of the names.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
 /// A place that is held for as long as this is.
@@ -26,6 +26,9 @@
 /// How many references there are to the name of a place that nobody holds: its own, and the index's.
 const UNHELD: usize = 2;
 
+/// How many places that may be free are looked at for one name.
+const LOOKS: usize = 8;
+
 /// All places.
 #[derive(Debug, Default)]
 pub struct Places {
@@ -33,6 +36,8 @@
     all: Vec<(Rc<str>, bool)>,
     /// The place of each name, also of those that have vanished.
     index: HashMap<Rc<str>, usize>,
+    /// Places whose names were removed, the first removed at the front; some may be taken again.
+    vanished: VecDeque<usize>,
 }
 
 impl Places {
@@ -81,6 +86,54 @@
         turns
     }
 
+    /// This name is there from now on; gives its place, and whether it is new there. Its cost does not grow with the others.
+    pub fn insert(&mut self, name: &str) -> (usize, bool) {
+        if let Some(place) = self.index.get(name).copied() {
+            // One that comes back has its place again.
+            self.all[place].1 = true;
+            return (place, false);
+        }
+        let name: Rc<str> = name.into();
+        let place = match self.unheld() {
+            Some(place) => {
+                self.index.remove(&self.all[place].0);
+                self.all[place] = (name.clone(), true);
+                place
+            }
+            None => {
+                self.all.push((name.clone(), true));
+                self.all.len() - 1
+            }
+        };
+        self.index.insert(name, place);
+        (place, true)
+    }
+
+    /// This name is there no more; gives its place, if it was there. Who holds the place keeps it.
+    pub fn remove(&mut self, name: &str) -> Option<usize> {
+        let place = *self.index.get(name)?;
+        let was = std::mem::replace(&mut self.all[place].1, false);
+        was.then(|| {
+            self.vanished.push_back(place);
+            place
+        })
+    }
+
+    /// A place that has lately become free, if one of the first few is held by nobody.
+    fn unheld(&mut self) -> Option<usize> {
+        for _ in 0..self.vanished.len().min(LOOKS) {
+            let place = self.vanished.pop_front()?;
+            let (name, now) = &self.all[place];
+            match (*now, Rc::strong_count(name) == UNHELD) {
+                // It came back, or another has it.
+                (true, _) => {}
+                (false, true) => return Some(place),
+                (false, false) => self.vanished.push_back(place),
+            }
+        }
+        None
+    }
+
     /// The place of a name, whether or not it is among the names now. Lists mostly follow in the order of the one before: the
     /// place of that number is looked at first.
     fn place_of(&self, name: &str, number: usize) -> Option<usize> {
--- a/crates/operation/tests/places.rs
+++ b/crates/operation/tests/places.rs
@@ -79,3 +79,52 @@
     assert!((0..MANY).all(|n| turns[n] == Turn::Stays(MANY - 1 - n)));
     assert!((0..MANY).all(|n| places.find(&names[n]).is_some_and(|place| place.number == n)));
 }
+
+#[test]
+fn one_name_comes_and_goes_without_the_others() {
+    let mut places = Places::default();
+    places.follow(&["a", "b"]);
+    assert_eq!(places.insert("a"), (0, false));
+    assert_eq!(places.insert("c"), (2, true));
+    let held = places.find("a").expect("there");
+    assert_eq!((places.remove("a"), places.remove("a"), places.find("a")), (Some(0), None, None));
+    assert_eq!(places.insert("d"), (3, true), "the place of a is held");
+    drop(held);
+    assert_eq!(places.insert("e"), (0, true), "nobody holds it any more");
+    assert_eq!(places.remove("e"), Some(0));
+    assert_eq!(places.insert("e"), (0, false), "it comes back to its place");
+    assert_eq!(places.insert("f"), (4, true), "and nobody else has that");
+    assert_eq!(places.follow(&["f", "b"]).len(), 5);
+}
+
+proptest! {
+    #[test]
+    fn whoever_is_there_has_a_place_of_its_own(
+        steps in prop::collection::vec((0..8usize, any::<bool>(), any::<bool>()), 1..200)
+    ) {
+        let mut places = Places::default();
+        let mut there = std::collections::BTreeSet::new();
+        let mut held: Vec<Place> = Vec::new();
+        for (which, comes, holds) in steps {
+            let name = format!("n{which}");
+            if comes {
+                places.insert(&name);
+                there.insert(name.clone());
+            } else {
+                places.remove(&name);
+                there.remove(&name);
+            }
+            if holds {
+                held.extend(places.find(&name));
+            } else if !held.is_empty() {
+                held.swap_remove(which % held.len());
+            }
+            let found: Vec<Place> = there.iter().filter_map(|name| places.find(name)).collect();
+            let distinct: std::collections::BTreeSet<usize> = found.iter().map(|place| place.number).collect();
+            prop_assert_eq!((found.len(), distinct.len()), (there.len(), there.len()));
+            for place in &held {
+                prop_assert_eq!(places.name(place.number), Some(&place.name));
+            }
+        }
+    }
+}
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -257,6 +257,17 @@
     pub started: Option<Millis>,
 }
 
+/// One tenant that is new, or has another share.
+#[derive(Clone, Debug)]
+pub struct TenantChange {
+    /// Its index, which is there already or is the next one.
+    pub place: usize,
+    /// What it is from now on.
+    pub tenant: Tenant,
+    /// It is new there: nothing that was counted at that place is its own.
+    pub anew: bool,
+}
+
 /// How an attempt or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -340,6 +351,8 @@
         /// The same of tenants.
         tenants: Vec<bool>,
     },
+    /// Some tenants are otherwise from now on, and nothing else.
+    Tenants(Vec<TenantChange>),
     /// A client asks for something; one final answer is owed from now on.
     Request {
         /// The request.
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 
 use crate::api::*;
+use crate::places::{put, renew};
 use crate::rate::Rate;
 use crate::table::{self, mix, GOLDEN};
 use crate::unserved::{First, Unserved};
@@ -263,13 +264,6 @@
     outcome == Outcome::ConnectFailed && took < 0.9 * limits.connect_timeout
 }
 
-/// Begins those anew that are marked, in their places or at the end.
-fn renew<T>(all: &mut Vec<T>, anew: &[bool], new: impl Fn(usize) -> T) {
-    for (n, _) in anew.iter().enumerate().filter(|(_, anew)| **anew) {
-        all.splice(n..all.len().min(n + 1), [new(n)]);
-    }
-}
-
 impl Server {
     fn listed_up(&self) -> bool {
         self.entry.state == Listed::Up
@@ -391,6 +385,7 @@
             }
             event @ Event::Request { .. } => self.on_request(event, actions),
             Event::Settings { settings, classes, tenants } => self.on_settings(*settings, &classes, &tenants),
+            Event::Tenants(changes) => changes.into_iter().for_each(|change| self.on_tenant(change)),
             Event::Spent(id) => self.requests.get_mut(&id).into_iter().for_each(|r| r.bound = Bound::Body),
             Event::Streaming { id, attempt } => self.on_streaming(id, attempt, actions),
             event @ Event::Ended { .. } => self.on_ended(event, actions),
@@ -438,6 +433,15 @@
         self.on_list(Vec::new(), false, false);
     }
 
+    /// Takes one tenant over, at a cost that does not grow with the others.
+    fn on_tenant(&mut self, TenantChange { place, tenant, anew }: TenantChange) {
+        put(&mut self.set.tenants, place, tenant);
+        if anew {
+            put(&mut self.tenant_served, place, Served::default());
+            put(&mut self.quotas, place, (0.0, f64::NEG_INFINITY));
+        }
+    }
+
     /// For how long the client of a refused request of this class should stay away.
     pub fn stay_away(&self, class: usize) -> Millis {
         let aim = self.set.classes.get(class).map_or(0.0, |c| c.aim);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,6 +39,7 @@
 
 pub mod api;
 pub mod balance;
+mod places;
 mod rate;
 mod table;
 mod unserved;
--- a/crates/testkit/src/node.rs
+++ b/crates/testkit/src/node.rs
@@ -199,6 +199,15 @@
         self.signal(Signal::TERM);
     }
 
+    /// Gives it another configuration file, and tells it so (SIGHUP).
+    ///
+    /// # Panics
+    /// Where the file can't be written, or it can't be told.
+    pub fn reload(&self, config: &Value) {
+        std::fs::write(self.folder.join("config.json"), config.to_string()).expect("a file");
+        self.signal(Signal::HUP);
+    }
+
     /// Makes it stand still.
     ///
     /// # Panics
