--- a/crates/node/src/door.rs
+++ b/crates/node/src/admin.rs
@@ -1,4 +1,4 @@
-//! The operators' door: whether the node serves, and its figures. It has a thread and a runtime of its own, as its answers are
+//! the admin endpoint: whether the node serves, and its figures. It has a thread and a runtime of its own, as its answers are
 //! owed within a second whatever the thread does that serves, and it knows of that thread only what the figures hold.
 
 use std::cell::RefCell;
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -103,18 +103,18 @@
 /// The least that a node can do anything with.
 const MEMORY_LEAST: u64 = 8;
 
-/// What the operators' door needs beside its callers: its listener, and its runtime's.
-const DOOR: usize = 4;
+/// What the admin endpoint needs beside its callers: its listener, and its runtime's.
+const ADMIN_DESCRIPTORS: usize = 4;
 
 impl Config {
-    /// How many callers the operators' door has at a time.
+    /// How many callers the admin endpoint has at a time.
     pub fn callers_most(&self) -> usize {
         (self.sockets / 16).clamp(4, 32)
     }
 
     /// Descriptors that are nobody's connection.
     pub fn reserve(&self) -> usize {
-        RESERVE + if self.mgmt.is_some() { DOOR + self.callers_most() } else { 0 }
+        RESERVE + if self.mgmt.is_some() { ADMIN_DESCRIPTORS + self.callers_most() } else { 0 }
     }
 
     /// How many connections of clients there may be: half of what the process itself does not need, within what
--- a/crates/node/src/custody/mod.rs
+++ b/crates/node/src/custody/mod.rs
@@ -4,7 +4,7 @@
 mod form;
 mod guard;
 mod report;
-mod told;
+mod table;
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -25,7 +25,7 @@
 use tokio::time::sleep;
 
 pub use guard::Guarded;
-pub use told::{Alone, Told};
+pub use table::{Alone, Table};
 
 use crate::call::{Call, Reply};
 use crate::config::Config;
@@ -112,7 +112,7 @@
 
 /// Custody at this node.
 pub struct Custody {
-    told: Told,
+    table: Table,
     hub: Rc<Hub>,
     membership: Rc<Membership>,
     me: Life,
@@ -149,41 +149,41 @@
     /// One line: field and reason.
     pub fn new(hub: &Rc<Hub>, membership: Option<&Rc<Membership>>) -> Result<Option<Rc<Self>>, String> {
         let config: &Config = &hub.config;
-        let Some(told) = config.operator.custody.clone() else { return Ok(None) };
+        let Some(table) = config.operator.custody.clone() else { return Ok(None) };
         let membership = membership.ok_or("custody: needs the table members")?.clone();
-        let table = config.operator.members.as_ref().ok_or("custody: needs the table members")?;
+        let members_table = config.operator.members.as_ref().ok_or("custody: needs the table members")?;
         let longest = hub.settings().longest_deadline;
-        if longest > told.life_ms as f64 / 2.0 {
+        if longest > table.life_ms as f64 / 2.0 {
             return Err(format!(
                 "custody.life_ms: twice the longest deadline of {longest} ms at the least expected, not {}",
-                told.life_ms
+                table.life_ms
             ));
         }
         let known = hub.settings().classes.clone();
-        let named = told.alone.keys().chain(&told.without);
+        let named = table.alone.keys().chain(&table.without);
         if let Some(class) = named.into_iter().find(|class| !known.contains(class)) {
             return Err(format!("custody: there is no class {class:?}"));
         }
-        let secret = identity::secret("members", &table.secret)?;
-        let me = Life { node: told::node_id(&config.name), life: membership.life() };
+        let secret = identity::secret("members", &members_table.secret)?;
+        let me = Life { node: table::node_id(&config.name), life: membership.life() };
         let now = hub.clock.now() as u64;
         let set = desk::Settings {
-            patience_ms: told.patience_ms,
-            resend_ms: told.resend_ms,
-            poll_ms: told.poll_ms,
-            life_ms: told.life_ms,
+            patience_ms: table.patience_ms,
+            resend_ms: table.resend_ms,
+            poll_ms: table.poll_ms,
+            life_ms: table.life_ms,
             most: WORKS_MOST,
         };
         let kept = keeper::Settings {
-            life_ms: told.life_ms,
-            works_most: told.works_most,
-            bytes_most: told.memory_mb << 20,
+            life_ms: table.life_ms,
+            works_most: table.works_most,
+            bytes_most: table.memory_mb << 20,
         };
         Ok(Some(Rc::new_cyclic(|own| Self {
             own: own.clone(),
-            cluster: wire::cluster_number(&table.cluster),
+            cluster: wire::cluster_number(&members_table.cluster),
             secret,
-            desk: RefCell::new(Desk::new(set, me, told.rosters.clone(), me.life, now)),
+            desk: RefCell::new(Desk::new(set, me, table.rosters.clone(), me.life, now)),
             keeper: RefCell::new(Keeper::new(kept, now)),
             held: RefCell::default(),
             calls: RefCell::default(),
@@ -196,7 +196,7 @@
             counts: RefCell::default(),
             moving: Cell::new(false),
             changed: Notify::new(),
-            told,
+            table,
             hub: hub.clone(),
             membership,
             me,
@@ -220,7 +220,7 @@
             Err(error) => return log::line(format!("custody: {error}")),
         };
         if let Ok(at) = socket.local_addr() {
-            log::line(format!("custody: asks from {at}, epoch {}", self.told.rosters.epoch));
+            log::line(format!("custody: asks from {at}, epoch {}", self.table.rosters.epoch));
         }
         let _ = self.socket.set(socket);
         let Some(socket) = self.socket.get() else { return };
@@ -287,7 +287,7 @@
         orphans.retain(|work, _| works.contains(work));
         for work in works {
             let since = *orphans.entry(work).or_insert(now);
-            let keepers = self.told.rosters.keepers(work.slot);
+            let keepers = self.table.rosters.keepers(work.slot);
             let own = keepers.place(self.me.node).unwrap_or(keeper_places());
             let before = keepers.all().into_iter().filter(|id| keepers.place(*id).is_some_and(|p| p < own));
             let rank = before.filter(|id| self.lives(*id)).count() as u64;
@@ -306,10 +306,10 @@
         let Ok((from, says)) = wire::read(bytes, self.cluster, &self.secret) else {
             return self.count(|counts| counts.forged += 1);
         };
-        if !self.told.rosters.meets(from.epoch.0, from.epoch.1) {
+        if !self.table.rosters.meets(from.epoch.0, from.epoch.1) {
             return self.count(|counts| counts.other_epoch += 1);
         }
-        if from.time.abs_diff(self.hub.clock.unix_now()) > self.told.life_ms / CLOCKS {
+        if from.time.abs_diff(self.hub.clock.unix_now()) > self.table.life_ms / CLOCKS {
             return self.count(|counts| counts.stale += 1);
         }
         let now = self.now();
@@ -342,7 +342,7 @@
         if says.is_empty() {
             return;
         }
-        let epoch = (self.told.rosters.epoch, self.told.rosters.before.is_some());
+        let epoch = (self.table.rosters.epoch, self.table.rosters.before.is_some());
         let time = self.hub.clock.unix_now();
         let from = wire::From { cluster: self.cluster, life: self.me, epoch, time };
         for bytes in wire::write(&from, says, &self.secret) {
@@ -643,7 +643,7 @@
     fn alone(&self, class: usize, name: &str) -> Alone {
         let effect = self.hub.settings().policy.classes.get(class).map(|class| class.effect);
         let by_kind = if effect == Some(policy::Effect::Unsafe) { Alone::Refuse } else { Alone::Serve };
-        self.told.alone.get(name).copied().unwrap_or(by_kind)
+        self.table.alone.get(name).copied().unwrap_or(by_kind)
     }
 
     /// Answers all who wait by a ticket.
@@ -837,7 +837,7 @@
             Some(policy::Effect::Keyed { .. }) if call.key.is_some() => Kind::Keyed,
             _ => return Err((incoming, waiter)),
         };
-        if self.told.without.contains(&name) {
+        if self.table.without.contains(&name) {
             return Err((incoming, waiter));
         }
         let now = self.now();
--- a/crates/node/src/custody/report.rs
+++ b/crates/node/src/custody/report.rs
@@ -38,8 +38,8 @@
             })
             .collect();
         json!({
-            "epoch": self.told.rosters.epoch,
-            "joint": self.told.rosters.before.is_some(),
+            "epoch": self.table.rosters.epoch,
+            "joint": self.table.rosters.before.is_some(),
             "votes": keeper.votes(now),
             "here": here,
             "mine": mine,
--- a/crates/node/src/custody/told.rs
+++ b/crates/node/src/custody/table.rs
@@ -17,7 +17,7 @@
 
 /// What the operator's file says of custody.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Told {
+pub struct Table {
     /// Who may be keepers.
     pub rosters: Rosters,
     /// How long a majority of keepers may take, 10 to 10,000 ms.
@@ -43,7 +43,7 @@
     NodeId(number_of(&[b"member", name.as_bytes()]))
 }
 
-impl Told {
+impl Table {
     /// Reads the table.
     ///
     /// # Errors
--- a/crates/node/src/inspect.rs
+++ b/crates/node/src/inspect.rs
@@ -28,7 +28,7 @@
     fn name(&self) -> &'static str;
     /// What it says.
     fn report(&self) -> serde_json::Value;
-    /// What it shows at the operators' door.
+    /// What it shows at the admin endpoint.
     fn figures(&self) -> Vec<Figure>;
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`runtime`] knows all of them and ties them together.
 #![warn(missing_docs)]
 
+pub mod admin;
 pub mod backend;
 pub mod blocks;
 pub mod call;
@@ -12,7 +13,6 @@
 pub mod configuration;
 pub mod custody;
 pub mod discovery;
-pub mod door;
 pub mod front;
 pub mod headers;
 pub mod hub;
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -34,7 +34,7 @@
 
 /// What the operator's file says of membership.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Told {
+pub struct Table {
     /// Whose members these are.
     pub cluster: String,
     /// The file of the secret that all have in common, 16 bytes at the least.
@@ -55,7 +55,7 @@
     pub forget_ms: u64,
 }
 
-impl Told {
+impl Table {
     /// Reads the table.
     ///
     /// # Errors
@@ -95,7 +95,7 @@
 
 /// What the node knows of the others.
 pub struct Membership {
-    told: Told,
+    table: Table,
     name: String,
     life: u64,
     seed: u64,
@@ -130,17 +130,17 @@
     /// # Errors
     /// One line: field and reason.
     pub fn new(config: &Config) -> Result<Option<Rc<Self>>, String> {
-        let Some(told) = config.operator.members.clone() else { return Ok(None) };
+        let Some(table) = config.operator.members.clone() else { return Ok(None) };
         if config.name.len() > NAME_MOST {
             return Err(format!(
                 "name: {NAME_MOST} bytes at most expected among members, not {:?}",
                 config.name
             ));
         }
-        let secret = identity::secret("members", &told.secret)?;
+        let secret = identity::secret("members", &table.secret)?;
         let life = identity::life(config.seed);
         Ok(Some(Rc::new(Self {
-            told,
+            table,
             name: config.name.clone(),
             life,
             seed: config.seed,
@@ -187,16 +187,16 @@
         let me = Member {
             name: self.name.clone(),
             life: self.life,
-            address: self.told.address.unwrap_or(bound),
-            zone: self.told.zone.clone(),
+            address: self.table.address.unwrap_or(bound),
+            zone: self.table.zone.clone(),
         };
         let settings = Settings {
-            cluster: self.told.cluster.clone(),
+            cluster: self.table.cluster.clone(),
             me,
-            seeds: self.told.seeds.clone(),
-            probe_ms: self.told.probe_ms,
-            most: self.told.most,
-            forget_ms: self.told.forget_ms,
+            seeds: self.table.seeds.clone(),
+            probe_ms: self.table.probe_ms,
+            most: self.table.most,
+            forget_ms: self.table.forget_ms,
         };
         // A later start has the larger number, unless the clock went back: then the others' word sets it right.
         let incarnation = self.clock.unix_now();
@@ -245,10 +245,10 @@
     pub async fn run(self: Rc<Self>, hub: Rc<Hub>) {
         let mut said = false;
         let socket = loop {
-            match UdpSocket::bind(self.told.listen).await {
+            match UdpSocket::bind(self.table.listen).await {
                 Ok(socket) => break Rc::new(socket),
                 Err(error) if !std::mem::replace(&mut said, true) => {
-                    log::line(format!("members: {}: {error}; tried again", self.told.listen));
+                    log::line(format!("members: {}: {error}; tried again", self.table.listen));
                 }
                 Err(_) => {}
             }
@@ -326,8 +326,8 @@
         let mut states: BTreeMap<State, usize> = BTreeMap::new();
         all.iter().for_each(|shown| *states.entry(shown.state).or_default() += 1);
         let report = Report {
-            cluster: self.told.cluster.clone(),
-            zone: self.told.zone.clone(),
+            cluster: self.table.cluster.clone(),
+            zone: self.table.zone.clone(),
             life: self.life,
             address: machine.as_ref().map(|machine| machine.me().address),
             open: self.open.get(),
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -36,11 +36,11 @@
     /// Tenants' usage is counted over all instances, if it is.
     pub usage: Option<Sharing>,
     /// The node knows the others, if it does.
-    pub members: Option<members::Told>,
+    pub members: Option<members::Table>,
     /// Configuration comes in versions from publishers, if it does.
     pub configuration: Option<configuration::Table>,
     /// Works are guarded against the loss of their node, if they are.
-    pub custody: Option<custody::Told>,
+    pub custody: Option<custody::Table>,
 }
 
 /// How tenants' usage is counted over all instances.
@@ -236,8 +236,8 @@
             None => false,
         };
         let usage = top.table("usage")?.map(Sharing::take).transpose()?;
-        let members = top.table("members")?.map(members::Told::take).transpose()?;
-        let custody = top.table("custody")?.map(custody::Told::take).transpose()?;
+        let members = top.table("members")?.map(members::Table::take).transpose()?;
+        let custody = top.table("custody")?.map(custody::Table::take).transpose()?;
         let configuration = top.table("configuration")?.map(configuration::Table::take).transpose()?;
         top.end()?;
         if registrations.is_some() && configuration.is_some() {
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -14,6 +14,7 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{spawn_local, AbortHandle};
 
+use crate::admin;
 use crate::backend::{http1, msgpack, Descriptors};
 use crate::call::{Call, BODY_MOST};
 use crate::clock::Clock;
@@ -21,7 +22,6 @@
 use crate::configuration::Configuration;
 use crate::custody::{Custody, Guarded};
 use crate::discovery;
-use crate::door;
 use crate::front::{Fronts, Speaks};
 use crate::hub::{Hub, Outside};
 use crate::inspect::{self, Part};
@@ -186,7 +186,7 @@
     let membership = Membership::new(&config)?;
     let hub = Hub::new(config, shares).map_err(|e| format!("settings: {e}"))?;
     if let Some(at) = hub.config.mgmt {
-        let at = door::open(at, hub.config.callers_most(), hub.figures.clone())?;
+        let at = admin::open(at, hub.config.callers_most(), hub.figures.clone())?;
         log::line(format!("{} answers operators at {at}", hub.config.name));
     }
     let links = Rc::new(Links {
