A change of another history is not taken: the one guard of the chain that no test covered

Cause: with the comparison of the previous digest taken out of Change::follows all tests passed, as the digest of the change itself still fits.

--- a/crates/configuration/tests/following.rs
+++ b/crates/configuration/tests/following.rs
@@ -345,3 +345,19 @@
     assert_eq!(pair.replica.in_force(), in_force);
     assert!(pair.replica.age(pair.now).is_some_and(|age| age >= 3_600_000));
 }
+
+/// Two histories may have one number: the change that is next by its number, and whole in itself, still follows on another one.
+#[test]
+fn a_change_of_another_history_is_not_taken_though_its_number_fits() {
+    let mut pair = Pair::new(10, Scope::All);
+    let mut other = source(10);
+    change(&mut pair.source, 1, 5.0);
+    pair.settle(|message| vec![message]);
+    let elsewhere = change(&mut other, 1, 6.0);
+    let (version, kept) = (pair.replica.in_force(), pair.replica.resources().clone());
+    assert_eq!(version, Some(elsewhere.version));
+    let next = Change::following(elsewhere, vec![Operation::Put(tenant(2, 7.0, "a"))]);
+    pair.replica.receive(pair.now, Publication::Change(next));
+    assert_eq!(pair.replica.poll_offer(), None);
+    assert_eq!((pair.replica.in_force(), pair.replica.resources()), (version, &kept));
+}
