--- a/crates/configuration/src/follower.rs
+++ b/crates/configuration/src/follower.rs
@@ -230,7 +230,8 @@
         if piece.index < staging.pieces {
             return None;
         }
-        if piece.index > staging.pieces || piece.digest != Piece::chained(staging.digest, &piece.entries) {
+        // One that does not follow on the last is seen by the digest too.
+        if piece.digest != Piece::chained(staging.digest, &piece.entries) {
             self.missed(now);
             return None;
         }
--- a/crates/scale/src/network.rs
+++ b/crates/scale/src/network.rs
@@ -1,7 +1,7 @@
 //! Many processes in virtual time, and the network between them.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::ops::RangeInclusive;
 
 use crate::measure::Stopwatch;
@@ -93,6 +93,8 @@
     pub timed: bool,
     random: fastrand::Rng,
     slots: Vec<Slot<P>>,
+    /// Pairs between whom nothing passes, the lower number first.
+    severed: BTreeSet<(usize, usize)>,
     queue: BinaryHeap<Reverse<(Time, u64)>>,
     events: BTreeMap<u64, Event>,
     next_event: u64,
@@ -108,6 +110,7 @@
             timed: false,
             random: fastrand::Rng::with_seed(seed),
             slots: (0..size).map(|_| empty()).collect(),
+            severed: BTreeSet::new(),
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             next_event: 0,
@@ -161,6 +164,16 @@
         }
     }
 
+    /// Lets nothing pass between two processes, or again what is sent.
+    pub fn sever(&mut self, one: usize, other: usize, severed: bool) {
+        let pair = (one.min(other), one.max(other));
+        if severed {
+            self.severed.insert(pair);
+        } else {
+            self.severed.remove(&pair);
+        }
+    }
+
     /// What a process has sent, received and used.
     pub fn traffic(&self, number: usize) -> Traffic {
         self.slots[number].traffic
@@ -221,7 +234,9 @@
 
     fn arrive(&mut self, from: usize, to: usize, bytes: &[u8]) {
         // A partition cuts what is under way, too.
-        if self.slots[from].partition != self.slots[to].partition || self.slots[to].process.is_none() {
+        let severed = self.severed.contains(&(from.min(to), from.max(to)));
+        let parted = severed || self.slots[from].partition != self.slots[to].partition;
+        if parted || self.slots[to].process.is_none() {
             return;
         }
         let traffic = &mut self.slots[to].traffic;
--- a/crates/scale/tests/configuration.rs
+++ b/crates/scale/tests/configuration.rs
@@ -68,6 +68,21 @@
     }
 }
 
+/// Relays that their nodes still hear, but that hear nothing of the source, are left for others.
+#[test]
+fn a_relay_that_is_cut_off_from_the_source_alone_is_left_for_another() {
+    let mut fleet = fleet(65, Settings::default(), 9);
+    let near: Vec<usize> = (1..=RELAYS).filter(|relay| fleet.region(*relay) == 1).collect();
+    near.iter().for_each(|relay| fleet.network.sever(0, *relay, true));
+    fleet.push(5, 9.0);
+    let took = fleet.settle(30_000).expect("all have it");
+    assert!(took <= budget(), "{took} ms");
+    near.iter().for_each(|relay| fleet.network.sever(0, *relay, false));
+    fleet.push(6, 9.0);
+    assert!(fleet.settle(20_000).is_some());
+    check(&fleet, "relays cut off from the source");
+}
+
 /// A region is cut off for an hour and misses 75 changes; then it is back at once.
 fn region_back(log_most: usize) -> Fleet {
     let mut fleet = fleet(130, Settings { log_most, ..Settings::default() }, 4);
