--- a/crates/publisher/src/lib.rs
+++ b/crates/publisher/src/lib.rs
@@ -1,6 +1,6 @@
 //! The program `glenwood-configuration`: a source or a relay of configuration, on sockets.
 //!
-//! [`role`] is which of the two it is; [`server`] is the HTTP side, for subscribers and operators. The machines themselves are
+//! `role` is which of the two it is; `server` is the HTTP side, for subscribers and operators. The machines themselves are
 //! those of `glenwood-configuration`.
 #![warn(missing_docs)]
 
