Failing tests: thousands of servers, and a list that is not followed

Need: the incident at thousands of servers has no logs, so its evidence has to come from runs of our own.

--- /dev/null
+++ b/crates/node/tests/peers/many.rs
@@ -0,0 +1,195 @@
+//! Thousands of servers in this process, each at an address of its own, and how late this process itself is.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use glenwood_testkit::{http, runtime};
+use serde_json::Value;
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::dice::Dice;
+use super::record::{Record, Sent};
+use super::{answer, host};
+
+/// What a server does that takes no more requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// It drains, and its health check says so.
+    Drains,
+    /// It is taken out of the list, and answers its health check as before.
+    IsRemoved,
+}
+
+/// How a server stands.
+#[derive(Clone, Copy, Debug)]
+struct Ended {
+    how: Ending,
+    /// When that counts as told to every node.
+    told: Instant,
+}
+
+#[derive(Default)]
+struct One {
+    ended: Mutex<Option<Ended>>,
+}
+
+/// Servers that answer everything, also after they have ended: a request that comes too late is noted.
+pub struct ManyServers {
+    addresses: Vec<SocketAddr>,
+    servers: Arc<Vec<One>>,
+    checks: Arc<AtomicUsize>,
+}
+
+/// Where a server listens; the port is any free one.
+fn own_address(number: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, 1, (number >> 8) as u8, number as u8)
+}
+
+impl ManyServers {
+    /// Starts so many; what comes to them is noted in the record.
+    pub fn start(count: usize, record: &Arc<Record>) -> Self {
+        let servers: Arc<Vec<One>> = Arc::new((0..count).map(|_| One::default()).collect());
+        let checks: Arc<AtomicUsize> = Arc::default();
+        let listeners = glenwood_testkit::wait("listeners", async {
+            let mut listeners = Vec::new();
+            for number in 0..count {
+                listeners.push(TcpListener::bind((own_address(number), 0)).await.expect("a free port"));
+            }
+            listeners
+        });
+        let address = |listener: &TcpListener| listener.local_addr().expect("bound");
+        let addresses = listeners.iter().map(address).collect();
+        for (number, listener) in listeners.into_iter().enumerate() {
+            let server =
+                Serving { number, all: servers.clone(), record: record.clone(), checks: checks.clone() };
+            runtime().spawn(server.accept(listener));
+        }
+        Self { addresses, servers, checks }
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.addresses.len()
+    }
+
+    /// How many health checks they have answered.
+    pub fn checks(&self) -> usize {
+        self.checks.load(Ordering::SeqCst)
+    }
+
+    /// A server takes no more requests, which counts as told at that time.
+    pub fn end(&self, number: usize, how: Ending, told: Instant) {
+        *self.servers[number].ended.lock().expect("no panic") = Some(Ended { how, told });
+    }
+
+    /// The entry of a server in the list, and in the news of its end.
+    pub fn entry(&self, number: usize) -> Value {
+        let ended = self.servers[number].ended.lock().expect("no panic").map(|ended| ended.how);
+        let health = match ended {
+            None => "active",
+            Some(Ending::Drains) => "leaving",
+            Some(Ending::IsRemoved) => "left",
+        };
+        host(&format!("s{number:05}"), self.addresses[number], health, number as u64 / 2)
+    }
+}
+
+/// One server that runs.
+#[derive(Clone)]
+struct Serving {
+    number: usize,
+    all: Arc<Vec<One>>,
+    record: Arc<Record>,
+    checks: Arc<AtomicUsize>,
+}
+
+impl Serving {
+    async fn accept(self, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let server = self.clone();
+            runtime().spawn(async move {
+                // What breaks a connection is the other side's affair.
+                let _ = server.serve(stream).await;
+            });
+        }
+    }
+
+    async fn serve(&self, stream: TcpStream) -> std::io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut stream = BufReader::new(stream);
+        let mut dice = Dice(self.number as u64);
+        while let Some(message) = http::read(&mut stream).await? {
+            let at = Instant::now();
+            let ended = *self.all[self.number].ended.lock().expect("no panic");
+            if message.target() == "/health" {
+                self.checks.fetch_add(1, Ordering::SeqCst);
+                let drains = ended.is_some_and(|ended| ended.how == Ending::Drains);
+                stream.get_mut().write_all(&answer(if drains { 503 } else { 200 }, "", "")).await?;
+                continue;
+            }
+            let told = message.header("x-remaining-ms").and_then(|value| value.parse().ok());
+            self.record.sent(Sent {
+                id: message.header("x-txn").unwrap_or_default().to_string(),
+                server: self.number,
+                cell: self.number as u64 / 2,
+                at,
+                told: Duration::from_millis(told.unwrap_or(u64::MAX / 2)),
+                drains_for: ended.and_then(|ended| at.checked_duration_since(ended.told)),
+            });
+            tokio::time::sleep(dice.between(1, 20)).await;
+            stream.get_mut().write_all(&answer(200, "", "served")).await?;
+        }
+        Ok(())
+    }
+}
+
+/// How late this process is: the longest that any of its threads or tasks slept beyond its time.
+pub struct Lateness {
+    ends: Arc<AtomicBool>,
+    longest: Arc<Mutex<Duration>>,
+}
+
+/// How often it is measured.
+const LOOK: Duration = Duration::from_millis(5);
+
+impl Lateness {
+    /// Begins to measure.
+    pub fn measure() -> Self {
+        let (ends, longest) = (Arc::<AtomicBool>::default(), Arc::<Mutex<Duration>>::default());
+        let note = |longest: &Mutex<Duration>, since: Instant| {
+            let mut longest = longest.lock().expect("no panic");
+            *longest = longest.max(since.elapsed().saturating_sub(LOOK));
+        };
+        let (over, most) = (ends.clone(), longest.clone());
+        std::thread::spawn(move || {
+            while !over.load(Ordering::SeqCst) {
+                let since = Instant::now();
+                std::thread::sleep(LOOK);
+                note(&most, since);
+            }
+        });
+        let (over, most) = (ends.clone(), longest.clone());
+        runtime().spawn(async move {
+            while !over.load(Ordering::SeqCst) {
+                let since = Instant::now();
+                tokio::time::sleep(LOOK).await;
+                note(&most, since);
+            }
+        });
+        Self { ends, longest }
+    }
+
+    /// The longest so far.
+    pub fn longest(&self) -> Duration {
+        *self.longest.lock().expect("no panic")
+    }
+}
+
+impl Drop for Lateness {
+    fn drop(&mut self) {
+        self.ends.store(true, Ordering::SeqCst);
+    }
+}
