An event costs a node no walk over its servers

Cause: while the list is not followed each event walked the whole rotation (next_probe, probe), each ejection counted it twice and chose the subset anew, so n health checks cost n x n; each request walked it for its turn, its sizes and the free places besides. Lines: balance/ejection.rs next_probe, probe, eject; balance.rs next_turn, on_request, learn, places.

Change: times of probes and turns stand in ordered queues, the ejected of the rotation in a set, sums of sizes are kept, and the subset changes by the servers that came or left.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -7,6 +7,7 @@
 
 mod ejection;
 mod listed;
+mod rotation;
 mod subset;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,6 +15,7 @@
 use crate::api::*;
 use crate::discovery::{Calls, Sweep};
 use crate::places::{put, renew};
+use crate::queue::Queue;
 use crate::rate::Rate;
 use crate::table::{mix, GOLDEN};
 use crate::unserved::{First, Unserved};
@@ -94,6 +96,14 @@
     gone: BTreeSet<ServerId>,
     /// All that are ejected, and some that were.
     suspected: BTreeSet<ServerId>,
+    /// Those of the subset that are ejected.
+    ejected: BTreeSet<ServerId>,
+    /// When each server of the subset is to be probed that is to be.
+    probes: Queue<ServerId>,
+    /// From when on servers are asked, as of when all of them were last given their times.
+    scheduled_for: Option<Millis>,
+    /// All that have less than their capacity as yet, and some that have all of it by now.
+    warming: BTreeSet<ServerId>,
     /// All whose turn was set when they were cold, and some that have left the subset since.
     cold: BTreeSet<ServerId>,
     /// All servers that are up, sorted.
@@ -104,6 +114,10 @@
     subset: Vec<ServerId>,
     /// Of these, those that have lost their turn and have not been given another.
     without_turn: Vec<ServerId>,
+    /// The sum of their sizes.
+    size: f64,
+    /// Their turns.
+    turns: Queue<ServerId>,
     /// When the subset was last chosen.
     chosen: Millis,
     requests: BTreeMap<RequestId, Request>,
@@ -330,11 +344,17 @@
             servers: BTreeMap::new(),
             gone: BTreeSet::new(),
             suspected: BTreeSet::new(),
+            ejected: BTreeSet::new(),
+            probes: Queue::new(),
+            scheduled_for: None,
+            warming: BTreeSet::new(),
             cold: BTreeSet::new(),
             members: Vec::new(),
             order: Vec::new(),
             subset: Vec::new(),
             without_turn: Vec::new(),
+            size: 0.0,
+            turns: Queue::new(),
             chosen: f64::NEG_INFINITY,
             requests: BTreeMap::new(),
             unserved: Unserved::default(),
@@ -391,6 +411,7 @@
             }
             Event::DiscoveryMoved | Event::Timer => {}
         }
+        self.schedule_probes();
         if now >= self.timer_due {
             self.timer_due = f64::INFINITY;
         }
@@ -499,35 +520,6 @@
         LIMITS.1 / self.crowd
     }
 
-    /// Takes turns until one falls to a server that `ready` lets through; others are passed over in place.
-    fn next_turn(&mut self, ready: impl Fn(&Self, &Server) -> bool) -> Option<ServerId> {
-        if !self.rotated().any(|s| ready(self, s)) {
-            return None;
-        }
-        let (now, cursor, rules) = (self.now, self.cursor, &self.set.rules);
-        for id in &self.cold {
-            // As a cold one warms up its turns come closer.
-            let known = self.servers.get_mut(id).filter(|server| server.turn_warmth < 1.0);
-            let Some(server) = known.filter(|_| self.subset.binary_search(id).is_ok()) else { continue };
-            let warmth = server.warmth(now, rules);
-            server.turn = cursor + (server.turn - cursor) * server.turn_warmth / warmth;
-            server.turn_warmth = warmth;
-        }
-        loop {
-            let id = self.rotated().min_by(|a, b| a.turn.total_cmp(&b.turn))?.entry.server;
-            let passes = ready(self, &self.servers[&id]);
-            let server = self.servers.get_mut(&id)?;
-            (self.cursor, self.cursor_at) = (server.turn, Some(id));
-            server.turn_warmth = server.warmth(now, &self.set.rules);
-            server.turn += 1.0 / (server.size * server.share * server.turn_warmth);
-            let cold = server.turn_warmth < 1.0;
-            self.note_cold(id, cold);
-            if passes {
-                return Some(id);
-            }
-        }
-    }
-
     // ---- Which servers are ready ----
 
     fn ready(&self, server: &Server) -> bool {
@@ -588,7 +580,7 @@
         };
         let work = if self.set.by_work { self.work_of(class, work) } else { 1.0 };
         self.retry_budget = (self.retry_budget + RETRY_BUDGET_SHARE).min(RETRY_BUDGET_MAX);
-        let size: f64 = self.rotated().map(|s| s.size * s.warmth(self.now, &self.set.rules)).sum();
+        let size = self.present_size();
         self.arrivals.add(self.now, self.set.rules.fall_window, 1.0 / size.max(1.0));
         let tenant = tenant.filter(|t| *t < self.set.tenants.len());
         // A client that comes back is served by the time of its first asking or not at all, and counts once:
@@ -809,7 +801,7 @@
         let warm = |s: &Server| s.warmth(now, rules) >= 1.0;
         if done && self.servers.get(&id).is_some_and(warm) {
             // Measured on warm servers alone: measured on cold ones too, a cold budget would feed on itself.
-            let size: f64 = self.rotated().filter(|s| warm(s)).map(|s| s.size).sum();
+            let size = self.warm_size();
             self.pace.add(now, rules.fall_window, 1.0 / size.max(f64::MIN_POSITIVE));
         }
         let count = self.set.classes.len();
@@ -931,7 +923,7 @@
         // most: a node that sends little is full for moments all the time, and who can't be held is refused.
         let lesser = if held.is_empty() { Vec::new() } else { self.lesser() };
         while !held.is_empty() {
-            let last = self.subset.len() >= RESERVE_FROM && self.places() <= 1;
+            let last = self.subset.len() >= RESERVE_FROM && !self.has_places(2);
             let goes = |r: &Request| !last || !r.attempts.is_empty() || !lesser[r.class];
             let goes = |id: &&RequestId| self.requests.get(id).is_some_and(goes);
             let eager: Vec<RequestId> = held.iter().filter(goes).copied().collect();
@@ -976,11 +968,17 @@
         }
     }
 
-    /// How many more could be sent now.
-    fn places(&self) -> usize {
+    /// Could so many more be sent now?
+    fn has_places(&self, wanted: usize) -> bool {
         let least = self.least_limit();
         let free = |s: &Server| (s.allowed(self.fleet, least) as usize).saturating_sub(s.out.len()).max(1);
-        self.rotated().filter(|s| self.ready(s)).map(free).sum()
+        // By their turns, as those that come first are the ones that are ready.
+        let next = self.turns.iter().filter_map(|id| self.servers.get(&id));
+        let mut places = next.filter(|s| self.ready(s)).map(free).scan(0, |sum, places| {
+            *sum += places;
+            Some(*sum)
+        });
+        places.any(|sum| sum >= wanted)
     }
 
     /// Which held request this server's turn goes to: the one that adds most to the goal for the time that
@@ -1020,6 +1018,7 @@
             Sweep::Overdue => self.on_list_failed(ListFailure::Unanswered),
             Sweep::Nothing => {}
         }
+        self.schedule_probes();
         self.probe(actions);
         if now >= self.chosen + self.warmth_step() && self.any_cold() {
             self.choose_subset();
--- a/crates/policy/src/balance/ejection.rs
+++ b/crates/policy/src/balance/ejection.rs
@@ -31,14 +31,25 @@
         }
     }
 
+    /// Notes when a server is next to be probed; to be called after each change of what that goes by.
+    pub(super) fn schedule_probe(&mut self, id: ServerId) {
+        let server = self.servers.get(&id).filter(|_| self.is_rotated(id));
+        let due = server.map_or(f64::INFINITY, |server| self.probe_due(server));
+        self.probes.set(id, due);
+    }
+
+    /// Notes it for all servers of the rotation, where the list is followed again, or not any more.
+    pub(super) fn schedule_probes(&mut self) {
+        let check_from = self.calls.check_from();
+        if check_from != self.scheduled_for {
+            self.scheduled_for = check_from;
+            (0..self.subset.len()).for_each(|place| self.schedule_probe(self.subset[place]));
+        }
+    }
+
     /// When the first server is to be probed.
     pub(super) fn next_probe(&self) -> Millis {
-        let first = |due: Millis, server: &Server| due.min(self.probe_due(server));
-        if self.calls.check_from().is_some() {
-            return self.rotated().fold(f64::INFINITY, first);
-        }
-        // The list is followed: nobody else is asked.
-        self.rotated_of(&self.suspected).fold(f64::INFINITY, first)
+        self.probes.first_time()
     }
 
     /// May something new be sent to a server that is listed as up, also what has waited for its connection?
@@ -51,37 +62,49 @@
     /// Asks servers that are due.
     pub(super) fn probe(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
-        let due = |s: &&Server| now >= self.probe_due(s);
-        let due: Vec<ServerId> = self.rotated().filter(due).map(|s| s.entry.server).collect();
-        for id in due {
+        for id in self.probes.due(now) {
             if self.set.limits.probes {
                 actions.push(Action::Probe(id));
                 if let Some(server) = self.servers.get_mut(&id) {
                     (server.probing, server.next_check) = (true, now + CHECK_EVERY);
                 }
+                self.schedule_probe(id);
             } else {
                 self.on_probed(id, Outcome::Done, 0.0);
             }
         }
     }
 
+    /// Ejects a server until then, or takes it back.
+    fn set_ejected(&mut self, id: ServerId, until: Option<Millis>) {
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        server.ejected = until;
+        if until.is_some() {
+            self.suspected.insert(id);
+        } else {
+            self.suspected.remove(&id);
+        }
+        if until.is_some() && self.is_rotated(id) {
+            self.ejected.insert(id);
+        } else {
+            self.ejected.remove(&id);
+        }
+        self.schedule_probe(id);
+        self.adapt_subset();
+    }
+
     /// Takes a server out of the rotation for a while, unless too many are out and this one need not be.
     fn eject(&mut self, id: ServerId, sure: bool) {
-        let up = self.rotated();
-        let ejected = up.clone().filter(|s| s.ejected.is_some()).count() + 1;
-        let too_many = ejected as f64 > EJECT_AT_MOST * up.count() as f64;
+        let too_many = (self.ejected.len() + 1) as f64 > EJECT_AT_MOST * self.subset.len() as f64;
         let (now, base, most) =
             (self.now, 4.0 * self.set.limits.connect_timeout, self.set.rules.ask_within / 4.0);
-        if let Some(server) = self.servers.get_mut(&id) {
-            if server.ejected.is_none() && too_many && !sure {
-                return;
-            }
-            server.ejections += 1;
-            let span = (base * f64::from(1u32 << server.ejections.min(10))).min(most);
-            server.ejected = Some(now + span);
-            self.suspected.insert(id);
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        if server.ejected.is_none() && too_many && !sure {
+            return;
         }
-        self.choose_subset();
+        server.ejections += 1;
+        let span = (base * f64::from(1u32 << server.ejections.min(10))).min(most);
+        self.set_ejected(id, Some(now + span));
     }
 
     /// Ejects a server whose process may be down until a probe, sent at once, has told: connections that end
@@ -96,13 +119,16 @@
             server.down |= refused;
             self.eject(id, true);
         } else if server.ejected.is_none() {
-            server.ejected = Some(now);
-            self.suspected.insert(id);
-            self.choose_subset();
+            self.set_ejected(id, Some(now));
         }
     }
 
     pub(super) fn on_probed(&mut self, id: ServerId, outcome: Outcome, took: Millis) {
+        self.take_probe(id, outcome, took);
+        self.schedule_probe(id);
+    }
+
+    fn take_probe(&mut self, id: ServerId, outcome: Outcome, took: Millis) {
         let (now, stagger) = (self.now, self.random());
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.probing = false;
@@ -128,10 +154,10 @@
             // whole fleet on cold budgets in a jam that ejects each server once.
             if server.down && server.returned.is_none() {
                 (server.returned, server.last_sent, server.stagger) = (Some(now), now, stagger);
+                self.warming.insert(id);
             }
-            (server.ejected, server.consecutive_failures, server.down) = (None, 0, false);
-            self.suspected.remove(&id);
-            self.choose_subset();
+            (server.consecutive_failures, server.down) = (0, false);
+            self.set_ejected(id, None);
         } else {
             // The connection of a probe may break like any other: one refused alone is asked again.
             let refused = is_down(outcome, took, &self.set.limits);
--- a/crates/policy/src/balance/listed.rs
+++ b/crates/policy/src/balance/listed.rs
@@ -86,17 +86,26 @@
             (server.consecutive_failures, server.ejections, server.down) = (0, 0, false);
             (server.ejected, server.returned, server.refuses) = (None, None, false);
         }
-        if !server.listed_up() || entry.started != server.entry.started {
-            server.turn = f64::NAN;
-            self.without_turn.push(id);
-        }
+        let begins = !server.listed_up() || entry.started != server.entry.started;
         server.size = size;
         server.entry = entry;
-        if server.entry.state == Listed::Gone {
+        let (is_gone, is_ejected) = (server.entry.state == Listed::Gone, server.ejected.is_some());
+        if server.entry.started.is_some() {
+            self.warming.insert(id);
+        }
+        if begins {
+            self.set_turn(id, f64::NAN);
+            self.without_turn.push(id);
+        }
+        if is_gone {
             self.gone.insert(id);
         } else {
             self.gone.remove(&id);
         }
+        if !is_ejected {
+            self.ejected.remove(&id);
+        }
+        self.schedule_probe(id);
     }
 
     /// Do these entries say anything that was not known?
@@ -125,6 +134,7 @@
             self.servers.remove(&id);
             self.suspected.remove(&id);
             self.cold.remove(&id);
+            self.warming.remove(&id);
             self.gone.remove(&id);
         }
     }
@@ -206,6 +216,20 @@
         assert_eq!(gone, ids(&|s| s.entry.state == Listed::Gone));
         assert!(ids(&|s| s.ejected.is_some()).iter().all(|id| balancer.suspected.contains(id)));
         assert!(balancer.rotated().all(|s| !s.turn.is_nan() && s.listed_up()));
+        let rotated = |is: &dyn Fn(&Server) -> bool| -> Vec<ServerId> {
+            balancer.rotated().filter(|s| is(s)).map(|s| s.entry.server).collect()
+        };
+        let kept: Vec<ServerId> = balancer.ejected.iter().copied().collect();
+        assert_eq!(kept, rotated(&|s| s.ejected.is_some()));
+        let is_cold = |s: &Server| s.warmth(balancer.now, &balancer.set.rules) < 1.0;
+        assert!(rotated(&is_cold).iter().all(|id| balancer.warming.contains(id)));
+        let by_turn = |id: &ServerId| balancer.servers[id].turn;
+        let turns: Vec<ServerId> = balancer.turns.iter().collect();
+        assert!(turns.windows(2).all(|two| by_turn(&two[0]) <= by_turn(&two[1])));
+        assert_eq!(turns.len(), balancer.subset.len());
+        let first = |due: f64, s: &Server| due.min(balancer.probe_due(s));
+        assert_eq!(balancer.next_probe(), balancer.rotated().fold(f64::INFINITY, first));
+        assert_eq!(balancer.subset, balancer.clone_of_subset());
         let cold: Vec<ServerId> =
             balancer.rotated().filter(|s| s.turn_warmth < 1.0).map(|s| s.entry.server).collect();
         assert!(cold.iter().all(|id| balancer.cold.contains(id)));
--- a/crates/policy/src/balance/subset.rs
+++ b/crates/policy/src/balance/subset.rs
@@ -28,9 +28,14 @@
         self.subset.iter().filter_map(|id| self.servers.get(id))
     }
 
+    /// Is a server in the subset?
+    pub(super) fn is_rotated(&self, id: ServerId) -> bool {
+        self.subset.binary_search(&id).is_ok()
+    }
+
     /// Those of these servers that are in the subset.
     pub(super) fn rotated_of<'a>(&'a self, ids: &'a BTreeSet<ServerId>) -> impl Iterator<Item = &'a Server> {
-        let rotated = ids.iter().filter(|id| self.subset.binary_search(id).is_ok());
+        let rotated = ids.iter().filter(|id| self.is_rotated(**id));
         rotated.filter_map(|id| self.servers.get(id))
     }
 
@@ -60,20 +65,88 @@
         let subset = self.wanted_subset();
         let left: Vec<ServerId> = without(&self.subset, &subset).collect();
         let came: Vec<ServerId> = without(&subset, &self.subset).collect();
-        for id in left {
-            self.servers.get_mut(&id).into_iter().for_each(|server| server.turn = f64::NAN);
+        (self.subset, self.chosen) = (subset, self.now);
+        self.size = self.rotated().map(|server| server.size).sum();
+        left.into_iter().for_each(|id| self.has_left(id));
+        came.into_iter().for_each(|id| self.has_come(id));
+        self.place_newcomers();
+        self.forget_warm();
+    }
+
+    /// The same where nothing but the ejection of single servers has changed.
+    pub(super) fn adapt_subset(&mut self) {
+        let wanted = self.subset_size(self.order.len());
+        if self.cold_rotated().next().is_some() {
+            return self.choose_subset();
         }
-        if self.set.limits.probes && self.calls.check_from().is_some_and(|from| self.now >= from) {
-            for id in &came {
-                let newcomer = self.servers.get_mut(id).into_iter();
-                newcomer.for_each(|s| (s.unchecked, s.next_check) = (true, f64::NEG_INFINITY));
+        self.chosen = self.now;
+        if wanted == self.order.len() {
+            return;
+        }
+        while self.in_use() < wanted && self.subset.len() < self.order.len() {
+            if self.warming.contains(&self.order[self.subset.len()]) {
+                // It counts for less than one.
+                return self.choose_subset();
             }
+            self.widen();
+        }
+        while self.last_is_spare(wanted) {
+            self.narrow();
         }
-        (self.subset, self.chosen) = (subset, self.now);
-        self.without_turn.extend(came);
         self.place_newcomers();
     }
 
+    /// How many servers of the subset are not ejected.
+    fn in_use(&self) -> usize {
+        self.subset.len() - self.ejected.len()
+    }
+
+    /// Do the others suffice without the server that was taken from the order last?
+    fn last_is_spare(&self, wanted: usize) -> bool {
+        let Some(last) = self.subset.len().checked_sub(1).map(|place| self.order[place]) else {
+            return false;
+        };
+        self.in_use() - usize::from(!self.ejected.contains(&last)) >= wanted
+    }
+
+    fn widen(&mut self) {
+        let id = self.order[self.subset.len()];
+        let Err(place) = self.subset.binary_search(&id) else { return };
+        self.subset.insert(place, id);
+        self.size += self.servers.get(&id).map_or(0.0, |server| server.size);
+        self.has_come(id);
+    }
+
+    fn narrow(&mut self) {
+        let id = self.order[self.subset.len() - 1];
+        let Ok(place) = self.subset.binary_search(&id) else { return };
+        self.subset.remove(place);
+        self.size -= self.servers.get(&id).map_or(0.0, |server| server.size);
+        self.has_left(id);
+    }
+
+    /// A server is not in the subset any more; it may not be listed either.
+    fn has_left(&mut self, id: ServerId) {
+        self.set_turn(id, f64::NAN);
+        self.ejected.remove(&id);
+        self.probes.remove(id);
+    }
+
+    /// A server is in the subset from now on; it is still to be given its turn.
+    fn has_come(&mut self, id: ServerId) {
+        let is_checked =
+            self.set.limits.probes && self.calls.check_from().is_some_and(|from| self.now >= from);
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        if is_checked {
+            (server.unchecked, server.next_check) = (true, f64::NEG_INFINITY);
+        }
+        if server.ejected.is_some() {
+            self.ejected.insert(id);
+        }
+        self.without_turn.push(id);
+        self.schedule_probe(id);
+    }
+
     fn wanted_subset(&self) -> Vec<ServerId> {
         let wanted = self.subset_size(self.order.len());
         if wanted == self.order.len() {
@@ -92,6 +165,11 @@
         subset
     }
 
+    #[cfg(test)]
+    pub(super) fn clone_of_subset(&self) -> Vec<ServerId> {
+        self.wanted_subset()
+    }
+
     /// Gives servers that are new to the rotation their place in it. A server of size w has its turns at
     /// (p + k) / w for k = 0, 1, ..., p being its place after the cursor, from 0 to 1: with equal sizes that
     /// is the plain cyclic order, with unequal ones an even interleaving. The others keep their turns: were
@@ -114,9 +192,10 @@
             let warmth = server.warmth(self.now, &self.set.rules);
             // Cold ones take a random place: by the cursors alone, many nodes would come at once.
             let part = if warmth < 1.0 { stagger } else { after as f64 / count as f64 };
-            server.turn = self.cursor + part / (server.size * warmth);
+            let turn = self.cursor + part / (server.size * warmth);
             server.turn_warmth = warmth;
             (server.stagger, server.last_sent) = (stagger, server.last_sent.max(self.now));
+            self.set_turn(id, turn);
             self.note_cold(id, warmth < 1.0);
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod balance;
 mod discovery;
 mod places;
+mod queue;
 mod rate;
 mod table;
 mod unserved;
