Checks are spread and bounded, and a send goes by the age of what is known

Callers saw requests sent late and by old knowledge where a list of thousands is not followed. All servers of a rotation were due for their check at one moment and again 2 s later, without a bound on checks that are out, and nothing asked how old the last word of a server was: a server whose checks could not be made in time counted as well as one that had just answered.

Change: balance/checks.rs spreads checks (a millisecond between two at first, evenly over 2 s then), has 128 out at the most, and uses no more servers meanwhile than can be checked (256, or the node's part of the fleet up to 1,024); balance/freshness.rs is the one place that says whether something new may be sent, by the age of what is known: asked at first and further attempts, second copies and after a wait for a connection.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 
 use glenwood_policy::{
-    Action, Balancer, Earlier, Effect, Entry, Event, ListFailure, Millis, Outcome, Reason, RequestId,
-    ServerId, Settings, SettingsError, TenantChange,
+    Action, Balancer, DoubtfulSends, Earlier, Effect, Entry, Event, ListFailure, Millis, Outcome, Reason,
+    RequestId, ServerId, Settings, SettingsError, TenantChange,
 };
 
 use crate::incoming::{Incoming, Token, ANSWER_MARGIN, GUARD_MARGIN};
@@ -443,6 +443,16 @@
         self.feed(now, Event::ListChange(entries));
     }
 
+    /// Is a server ejected for what was seen of it?
+    pub fn is_ejected(&self, server: ServerId) -> bool {
+        self.balancer.is_ejected(server)
+    }
+
+    /// How many attempts were begun against what is known of their servers.
+    pub fn doubtful_sends(&self) -> DoubtfulSends {
+        self.balancer.doubtful_sends()
+    }
+
     /// May something new be sent to a server that is listed as up, also what has waited for its connection?
     pub fn accepts(&self, server: ServerId) -> bool {
         self.balancer.accepts(server)
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -388,8 +388,14 @@
     /// Writes down what is not counted as it happens.
     pub fn show(&self) {
         let (ready, listed) = (self.ready() && self.listening.get(), self.listed_servers() as u64);
-        let avoided = self.core.borrow().avoided() as u64;
-        self.figures.with(|f| (f.ready, f.listed, f.avoided) = (ready, listed, avoided));
+        let (avoided, doubtful) = {
+            let core = self.core.borrow();
+            (core.avoided() as u64, core.doubtful_sends())
+        };
+        self.figures.with(|f| {
+            (f.ready, f.listed, f.avoided) = (ready, listed, avoided);
+            (f.stale_sends, f.refused_sends) = (doubtful.stale, doubtful.refused);
+        });
     }
 
     /// The node is to end.
@@ -543,6 +549,11 @@
         self.servers.borrow().place(server)
     }
 
+    /// Is a server in use, as far as its own answers tell?
+    pub fn uses(&self, server: ServerId) -> bool {
+        !self.core.borrow().is_ejected(server)
+    }
+
     /// May a request be sent to this life of a server now? It may have begun to drain while the request waited for a connection.
     pub fn accepts(&self, server: ServerId, place: Place) -> bool {
         self.place(server) == Some(place) && self.core.borrow().accepts(server)
--- a/crates/operation/src/figures.rs
+++ b/crates/operation/src/figures.rs
@@ -63,6 +63,10 @@
     pub listed: u64,
     /// Listed servers that the node avoids.
     pub avoided: u64,
+    /// Attempts begun by a word of their server that was too old, as none fresher had room.
+    pub stale_sends: u64,
+    /// Attempts begun at servers that had said, or the list, that they take nothing new.
+    pub refused_sends: u64,
     /// Configurations taken at SIGHUP.
     pub conf_loaded: u64,
     /// Configurations turned down at SIGHUP.
@@ -141,6 +145,13 @@
             ("current", "gauge", self.current, "Requests taken and not ended."),
             ("cluster_size", "gauge", self.listed, "Servers in the list."),
             ("cluster_unhealthy", "gauge", self.avoided, "Listed servers that the node avoids now."),
+            ("stale_sends", "counter", self.stale_sends, "Attempts begun by an old word of their server."),
+            (
+                "refused_sends",
+                "counter",
+                self.refused_sends,
+                "Attempts begun at servers that take nothing new.",
+            ),
             ("conf_loaded", "counter", self.conf_loaded, "Configurations taken at SIGHUP."),
             ("conf_invalid", "counter", self.conf_invalid, "Configurations turned down at SIGHUP."),
         ];
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -444,6 +444,15 @@
     Timer,
 }
 
+/// Attempts that were begun against what is known of their servers, since the node's start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DoubtfulSends {
+    /// What was known was too old, and nothing fresher had room.
+    pub stale: u64,
+    /// The server had said, or the list, that it takes nothing new. There must be none.
+    pub refused: u64,
+}
+
 /// Why a request is not served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -5,7 +5,9 @@
 //! over in place. All else here settles who is ready, when an attempt is given up or repeated, and when a
 //! request is refused.
 
+mod checks;
 mod ejection;
+mod freshness;
 mod listed;
 mod rotation;
 mod subset;
@@ -13,12 +15,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::api::*;
-use crate::discovery::{Calls, Sweep};
+use crate::discovery::{Calls, Lost, Sweep};
 use crate::places::{put, renew};
 use crate::queue::Queue;
 use crate::rate::Rate;
 use crate::table::{mix, GOLDEN};
 use crate::unserved::{First, Unserved};
+use freshness::Word;
 
 /// Part of the cold budget that is used; the rest is for chance and for uneven nodes.
 const SLOW_START_CAUTION: f64 = 0.5;
@@ -100,8 +103,16 @@
     ejected: BTreeSet<ServerId>,
     /// When each server of the subset is to be probed that is to be.
     probes: Queue<ServerId>,
-    /// From when on servers are asked, as of when all of them were last given their times.
-    scheduled_for: Option<Millis>,
+    /// Those that are being asked now.
+    asked: BTreeSet<ServerId>,
+    /// The loss of the list for which the servers of the subset are being asked.
+    checked_for: Option<Lost>,
+    /// Servers are asked whether they drain, and those in use are as many as can be.
+    is_checking: bool,
+    /// When the last of the checks was made that told that a server takes what is new.
+    last_checked: Millis,
+    /// Sends against what is known of their servers.
+    sends: DoubtfulSends,
     /// All that have less than their capacity as yet, and some that have all of it by now.
     warming: BTreeSet<ServerId>,
     /// All whose turn was set when they were cold, and some that have left the subset since.
@@ -185,11 +196,14 @@
     ejected: Option<Millis>,
     /// Ejected for refused or broken connections: a process that will come back cold.
     down: bool,
-    probing: bool,
     /// Its last health check said that it takes nothing new.
     refuses: bool,
     /// When it is next to be asked whether it drains, where the list is not followed.
     next_check: Millis,
+    /// When it is to be asked after that, where that is not in the usual rhythm.
+    check_after: Millis,
+    /// When it was last asked that it said that it takes what is new.
+    checked_at: Millis,
     /// It came into the rotation while the list is not followed, and has not said yet that it does not drain.
     unchecked: bool,
     /// Came back at that time from what looked like a restart.
@@ -346,7 +360,11 @@
             suspected: BTreeSet::new(),
             ejected: BTreeSet::new(),
             probes: Queue::new(),
-            scheduled_for: None,
+            asked: BTreeSet::new(),
+            checked_for: None,
+            is_checking: false,
+            last_checked: f64::NEG_INFINITY,
+            sends: DoubtfulSends::default(),
             warming: BTreeSet::new(),
             cold: BTreeSet::new(),
             members: Vec::new(),
@@ -411,7 +429,7 @@
             }
             Event::DiscoveryMoved | Event::Timer => {}
         }
-        self.schedule_probes();
+        self.follow_list();
         if now >= self.timer_due {
             self.timer_due = f64::INFINITY;
         }
@@ -523,8 +541,7 @@
     // ---- Which servers are ready ----
 
     fn ready(&self, server: &Server) -> bool {
-        let checked = !server.unchecked || self.calls.check_from().is_none();
-        checked && server.ejected.is_none() && self.within_slow_start(server) && self.has_room(server)
+        server.ejected.is_none() && self.within_slow_start(server) && self.has_room(server)
     }
 
     /// A server full with our own attempts is passed over: on turns alone a slow one keeps its full turn
@@ -710,6 +727,7 @@
     }
 
     fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
+        self.count_send(to);
         let Some(request) = self.requests.get(&id) else { return };
         let late = self.set.classes[request.class].late_worth > 0.0;
         let timeout = if late { request.deadline } else { self.useful_until(request) } - self.now;
@@ -927,7 +945,7 @@
             let goes = |r: &Request| !last || !r.attempts.is_empty() || !lesser[r.class];
             let goes = |id: &&RequestId| self.requests.get(id).is_some_and(goes);
             let eager: Vec<RequestId> = held.iter().filter(goes).copied().collect();
-            let turn = self.next_turn(|b, s| b.ready(s) && eager.iter().any(|id| b.may_go(*id, s)));
+            let turn = self.next_known(|b, s| b.ready(s) && eager.iter().any(|id| b.may_go(*id, s)));
             let Some(server) = turn else { break };
             let Some(place) = self.best_held(&eager, server) else { break };
             held.retain(|id| *id != eager[place]);
@@ -962,7 +980,7 @@
         let slow: Vec<RequestId> = self.requests.iter().filter(|(_, r)| slow(r)).map(|(id, _)| *id).collect();
         let most = if self.waiting.is_empty() { self.copies as usize } else { 0 };
         for id in slow.into_iter().take(most) {
-            let Some(server) = self.next_turn(|b, s| b.ready(s) && b.may_go(id, s)) else { continue };
+            let Some(server) = self.next_known(|b, s| b.ready(s) && b.may_go(id, s)) else { continue };
             self.copies -= 1.0;
             self.send(id, server, actions);
         }
@@ -974,10 +992,13 @@
         let free = |s: &Server| (s.allowed(self.fleet, least) as usize).saturating_sub(s.out.len()).max(1);
         // By their turns, as those that come first are the ones that are ready.
         let next = self.turns.iter().filter_map(|id| self.servers.get(&id));
-        let mut places = next.filter(|s| self.ready(s)).map(free).scan(0, |sum, places| {
-            *sum += places;
-            Some(*sum)
-        });
+        let mut places = next.filter(|s| self.word_of(s) != Word::Refuses && self.ready(s)).map(free).scan(
+            0,
+            |sum, places| {
+                *sum += places;
+                Some(*sum)
+            },
+        );
         places.any(|sum| sum >= wanted)
     }
 
@@ -1018,7 +1039,7 @@
             Sweep::Overdue => self.on_list_failed(ListFailure::Unanswered),
             Sweep::Nothing => {}
         }
-        self.schedule_probes();
+        self.follow_list();
         self.probe(actions);
         if now >= self.chosen + self.warmth_step() && self.any_cold() {
             self.choose_subset();
--- a/crates/policy/src/balance/ejection.rs
+++ b/crates/policy/src/balance/ejection.rs
@@ -1,9 +1,8 @@
-//! Which servers are taken out of the rotation for what was seen of them, and when they are asked whether
-//! they are back or drain.
+//! Which servers are taken out of the rotation for what was seen of them.
 
-use super::{Balancer, Server};
+use super::checks::Says;
+use super::Balancer;
 use crate::api::*;
-use crate::discovery::{CHECK_AGAIN, CHECK_EVERY};
 
 /// Consecutive failures that make a server an outlier, where a single one proves nothing.
 const OUTLIER_FAILURES: u32 = 3;
@@ -19,60 +18,9 @@
 }
 
 impl Balancer {
-    /// When a server is next to be probed: an ejected one to see it recover, the others to hear whether they
-    /// drain while the list is not followed.
-    pub(super) fn probe_due(&self, server: &Server) -> Millis {
-        match (server.ejected, self.calls.check_from()) {
-            _ if server.probing => f64::INFINITY,
-            (Some(at), _) => at,
-            (None, Some(_)) if server.unchecked => server.next_check,
-            (None, Some(from)) if self.set.limits.probes => from.max(server.next_check),
-            (None, _) => f64::INFINITY,
-        }
-    }
-
-    /// Notes when a server is next to be probed; to be called after each change of what that goes by.
-    pub(super) fn schedule_probe(&mut self, id: ServerId) {
-        let server = self.servers.get(&id).filter(|_| self.is_rotated(id));
-        let due = server.map_or(f64::INFINITY, |server| self.probe_due(server));
-        self.probes.set(id, due);
-    }
-
-    /// Notes it for all servers of the rotation, where the list is followed again, or not any more.
-    pub(super) fn schedule_probes(&mut self) {
-        let check_from = self.calls.check_from();
-        if check_from != self.scheduled_for {
-            self.scheduled_for = check_from;
-            (0..self.subset.len()).for_each(|place| self.schedule_probe(self.subset[place]));
-        }
-    }
-
-    /// When the first server is to be probed.
-    pub(super) fn next_probe(&self) -> Millis {
-        self.probes.first_time()
-    }
-
-    /// May something new be sent to a server that is listed as up, also what has waited for its connection?
-    /// Not where it has said that it takes no more, and the list does not tell better.
-    pub fn accepts(&self, id: ServerId) -> bool {
-        let refuses = self.servers.get(&id).is_some_and(|server| server.refuses);
-        !refuses || self.calls.check_from().is_none()
-    }
-
-    /// Asks servers that are due.
-    pub(super) fn probe(&mut self, actions: &mut Vec<Action>) {
-        let now = self.now;
-        for id in self.probes.due(now) {
-            if self.set.limits.probes {
-                actions.push(Action::Probe(id));
-                if let Some(server) = self.servers.get_mut(&id) {
-                    (server.probing, server.next_check) = (true, now + CHECK_EVERY);
-                }
-                self.schedule_probe(id);
-            } else {
-                self.on_probed(id, Outcome::Done, 0.0);
-            }
-        }
+    /// Is a server ejected for what was seen of it?
+    pub fn is_ejected(&self, id: ServerId) -> bool {
+        self.servers.get(&id).is_some_and(|server| server.ejected.is_some())
     }
 
     /// Ejects a server until then, or takes it back.
@@ -124,27 +72,17 @@
     }
 
     pub(super) fn on_probed(&mut self, id: ServerId, outcome: Outcome, took: Millis) {
+        self.asked.remove(&id);
         self.take_probe(id, outcome, took);
         self.schedule_probe(id);
     }
 
     fn take_probe(&mut self, id: ServerId, outcome: Outcome, took: Millis) {
         let (now, stagger) = (self.now, self.random());
+        let says = self.take_check(id, outcome, took);
         let Some(server) = self.servers.get_mut(&id) else { return };
-        server.probing = false;
-        // It was not asked, or its connection broke.
-        if matches!(outcome, Outcome::NotSent | Outcome::Reset) && server.ejected.is_none() {
-            server.next_check = now + CHECK_AGAIN;
-            return;
-        }
-        server.unchecked = false;
-        // Nobody but the server has told that it drains. What is no answer tells nothing.
-        let refuses = matches!(outcome, Outcome::Error | Outcome::Full);
-        if refuses || outcome == Outcome::Done {
-            server.refuses = refuses;
-        }
         if server.ejected.is_none() {
-            if refuses && self.calls.check_from().is_some() {
+            if says == Says::Refuses && self.calls.lost().is_some() {
                 self.eject(id, true);
             }
             return;
--- a/crates/policy/src/balance/listed.rs
+++ b/crates/policy/src/balance/listed.rs
@@ -22,8 +22,9 @@
             ejections: 0,
             ejected: None,
             down: false,
-            probing: false,
             next_check: f64::NEG_INFINITY,
+            check_after: f64::NEG_INFINITY,
+            checked_at: f64::NEG_INFINITY,
             unchecked: false,
             refuses: false,
             returned: None,
@@ -228,7 +229,7 @@
         assert!(turns.windows(2).all(|two| by_turn(&two[0]) <= by_turn(&two[1])));
         assert_eq!(turns.len(), balancer.subset.len());
         let first = |due: f64, s: &Server| due.min(balancer.probe_due(s));
-        assert_eq!(balancer.next_probe(), balancer.rotated().fold(f64::INFINITY, first));
+        assert_eq!(balancer.probes.first_time(), balancer.rotated().fold(f64::INFINITY, first));
         assert_eq!(balancer.subset, balancer.clone_of_subset());
         let cold: Vec<ServerId> =
             balancer.rotated().filter(|s| s.turn_warmth < 1.0).map(|s| s.entry.server).collect();
--- a/crates/policy/src/balance/subset.rs
+++ b/crates/policy/src/balance/subset.rs
@@ -41,10 +41,20 @@
 
     /// How many warm servers a node rotates over. All of them, until that would be more nodes to a server
     /// than it should bear: connections, and what a node must send to learn of each, grow with both.
-    fn subset_size(&self, up: usize) -> usize {
+    pub(super) fn subset_size(&self, up: usize) -> usize {
         (NODES_PER_SERVER * up).div_ceil(self.set.nodes).max(SUBSET_LEAST).min(up)
     }
 
+    /// How many it rotates over now: no more than it can check while it does.
+    fn rotation_size(&self) -> usize {
+        let size = self.subset_size(self.order.len());
+        if self.is_checking {
+            size.min(self.checked_most())
+        } else {
+            size
+        }
+    }
+
     /// How many nodes send to a server.
     pub(super) fn sharing(&self) -> f64 {
         let up = self.members.len().max(1);
@@ -53,7 +63,9 @@
 
     /// The order in which this node prefers the sorted `members`: an even cover of the fleet by all nodes.
     pub(super) fn preference(&self, members: &[ServerId]) -> Vec<ServerId> {
-        if self.subset_size(members.len()) == members.len() {
+        let is_whole = self.subset_size(members.len()) == members.len();
+        // Of more it uses a part while the list is not followed, which must not be the same part at all nodes.
+        if is_whole && members.len() <= self.checked_most() {
             return members.to_vec();
         }
         table::preference(members, self.set.number, self.set.nodes, SUBSET_LEAST)
@@ -75,7 +87,7 @@
 
     /// The same where nothing but the ejection of single servers has changed.
     pub(super) fn adapt_subset(&mut self) {
-        let wanted = self.subset_size(self.order.len());
+        let wanted = self.rotation_size();
         if self.cold_rotated().next().is_some() {
             return self.choose_subset();
         }
@@ -134,10 +146,8 @@
 
     /// A server is in the subset from now on; it is still to be given its turn.
     fn has_come(&mut self, id: ServerId) {
-        let is_checked =
-            self.set.limits.probes && self.calls.check_from().is_some_and(|from| self.now >= from);
         let Some(server) = self.servers.get_mut(&id) else { return };
-        if is_checked {
+        if self.is_checking {
             (server.unchecked, server.next_check) = (true, f64::NEG_INFINITY);
         }
         if server.ejected.is_some() {
@@ -148,7 +158,7 @@
     }
 
     fn wanted_subset(&self) -> Vec<ServerId> {
-        let wanted = self.subset_size(self.order.len());
+        let wanted = self.rotation_size();
         if wanted == self.order.len() {
             // None counts for more than one.
             return self.members.clone();
--- a/crates/policy/src/discovery.rs
+++ b/crates/policy/src/discovery.rs
@@ -25,10 +25,12 @@
 /// drain is over.
 const CHECK_AFTER: Millis = 275.0;
 const CHECK_SPREAD: Millis = 75.0;
-/// How often each is asked again: what was due meanwhile counts as told no sooner.
-pub const CHECK_EVERY: Millis = 2000.0;
-/// How soon a server is asked again that could not be.
-pub const CHECK_AGAIN: Millis = 100.0;
+/// For how long the list may be acted on that was followed until then.
+const STALE_AFTER: Millis = 1400.0;
+/// What a node may still do in the grace of a drain, once that counts as told.
+const GRACE_USED: Millis = 300.0;
+/// For the answer to the call that is made in time after a watch fell silent.
+const ANSWER_TIME: Millis = 1000.0;
 /// Over which part of the time, at its end, those calls are spread that are due later than they may be:
 /// the more of it, the more calls an outage costs.
 const LAST_PART: f64 = 0.2;
@@ -63,8 +65,25 @@
     /// Watches that may be opened anew without delay, as of a time.
     reopenings: f64,
     counted: Millis,
-    /// From when on servers are asked whether they drain; `None` while the list is followed.
-    check_from: Option<Millis>,
+    lost: Option<Lost>,
+}
+
+/// The list is not followed: what the node knows of its servers grows old.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Lost {
+    /// When news were lost, or may have been, for the last time.
+    pub at: Millis,
+    /// From when on servers are asked whether they drain.
+    pub check_from: Millis,
+    /// From when on what was known at that time is too old to send anything new by.
+    pub stale_from: Millis,
+}
+
+impl Lost {
+    /// `stale_after` is counted from now.
+    fn new(now: Millis, spread: Millis, stale_after: Millis) -> Self {
+        Self { at: now, check_from: now + CHECK_AFTER + spread, stale_from: now + stale_after }
+    }
 }
 
 /// How long after a failure the call comes: drawn from a span, and not later than `most`. What lies beyond
@@ -87,28 +106,28 @@
             Discovery::Pushed => State::Settled,
             Discovery::Asked => State::Due(f64::NEG_INFINITY, 0),
         };
-        Self { state, reopenings: REOPENINGS, counted: 0.0, check_from: None }
+        Self { state, reopenings: REOPENINGS, counted: 0.0, lost: None }
     }
 
     /// The service is elsewhere: whatever pause the old one had earned, the new one is called at once.
     pub fn moved(&mut self, now: Millis) {
         self.state = State::Due(now, 0);
-        self.check_from.get_or_insert(now + CHECK_AFTER);
+        self.lost.get_or_insert(Lost::new(now, 0.0, STALE_AFTER));
     }
 
     /// The call was answered, or the watch that stands has told something. Where it was news, opening the
     /// watch anew was worth it: a service that ends watches in place of telling on them may go on doing so.
     pub fn answered(&mut self, news: bool) {
         self.state = State::Settled;
-        self.check_from = None;
+        self.lost = None;
         if news {
             self.reopenings = (self.reopenings + 1.0).min(REOPENINGS);
         }
     }
 
-    /// From when on servers are to be asked whether they drain; `None` while the list is followed.
-    pub fn check_from(&self) -> Option<Millis> {
-        self.check_from
+    /// Since when the list has not been followed; `None` while it is.
+    pub fn lost(&self) -> Option<Lost> {
+        self.lost
     }
 
     /// When the next call is to be made, where that is settled.
@@ -133,7 +152,7 @@
         match self.state {
             State::Due(at, failures) if now >= at => {
                 self.state = State::Called(now, failures);
-                self.check_from.get_or_insert(now + CHECK_AFTER);
+                self.lost.get_or_insert(Lost::new(now, 0.0, STALE_AFTER));
                 Sweep::Call
             }
             State::Called(at, _) if now - at >= settings.rules.ask_within => Sweep::Overdue,
@@ -152,14 +171,28 @@
             ListFailure::Unanswered if self.state == State::Settled => ListFailure::Ended,
             other => other,
         };
-        // Watches of all nodes may end together.
-        self.check_from.get_or_insert(now + CHECK_AFTER + CHECK_SPREAD * chance);
+        self.lose(now, failure, chance);
         let span = self.span(now, failure, failures, settings);
         // A node that has not asked for so long counts as told as well.
         let latest = called + 0.85 * settings.rules.ask_within;
         self.state = State::Due(now + spread(span, latest - now, failure, chance), failures);
     }
 
+    /// Notes that the list is not followed. A call without answer has told nothing, so it has lost no news.
+    fn lose(&mut self, now: Millis, failure: ListFailure, chance: f64) {
+        let stale_after = match failure {
+            ListFailure::Silent { told_in } => told_in + ANSWER_TIME + GRACE_USED,
+            ListFailure::Unanswered | ListFailure::Unreadable | ListFailure::Ended => STALE_AFTER,
+        };
+        // Watches of all nodes may end together.
+        let lost = Lost::new(now, CHECK_SPREAD * chance, stale_after);
+        if failure == ListFailure::Unanswered {
+            self.lost.get_or_insert(lost);
+        } else {
+            self.lost = Some(lost);
+        }
+    }
+
     /// The time over which the next call is spread.
     fn span(&mut self, now: Millis, failure: ListFailure, failures: u32, settings: &Settings) -> Millis {
         let (fleet, within) = (settings.nodes as f64 * CALL_SPACE, settings.rules.ask_within);
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -63,9 +63,9 @@
         self.first().map_or(f64::INFINITY, |(_, time)| time)
     }
 
-    /// All that are due by then, by key.
-    pub fn due(&self, now: Millis) -> Vec<K> {
-        let due = self.order.iter().take_while(|(time, _)| time.0 <= now);
+    /// Those that are due by then, so many at the most, by key.
+    pub fn due(&self, now: Millis, most: usize) -> Vec<K> {
+        let due = self.order.iter().take_while(|(time, _)| time.0 <= now).take(most);
         let mut keys: Vec<K> = due.map(|(_, key)| *key).collect();
         keys.sort_unstable();
         keys
--- /dev/null
+++ b/crates/policy/tests/unfollowed.rs
@@ -0,0 +1,150 @@
+//! What a node does while the list is not followed: how it asks its servers, and whom it sends to by what they say.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use common::*;
+use glenwood_policy::*;
+
+/// How often a server in use is asked, with what a step of time adds.
+const CHECK_EVERY: f64 = 2_000.0 + 5.0;
+/// How many checks may be out.
+const ASKED_MOST: usize = 128;
+/// How many servers a node can check, where its part of the fleet is no more.
+const CHECKED: usize = 256;
+
+/// One of some nodes before so many servers, whose watch has just ended.
+fn unfollowed(nodes: usize, servers: u64) -> Node {
+    let set = Settings { discovery: Discovery::Asked, nodes, number: nodes / 2, ..settings() };
+    let mut node = Node::new_seeded(set, (0..servers).map(|id| entry(id, 1.0)).collect(), 1);
+    node.event(Event::ListChange(Vec::new()));
+    node.wait(500.0);
+    node.event(Event::ListFailed(ListFailure::Ended));
+    node
+}
+
+fn probes(actions: &[Action]) -> Vec<ServerId> {
+    actions.iter().filter_map(|a| if let Action::Probe(id) = a { Some(*id) } else { None }).collect()
+}
+
+/// Lets time pass in steps, and has each check answered at once by `says`, where that gives an outcome; gives all checks with their
+/// times. Calls to discovery have no answer.
+fn checks(node: &mut Node, span: f64, says: impl Fn(ServerId) -> Option<Outcome>) -> Vec<(f64, ServerId)> {
+    let ends = node.now + span;
+    let mut made = Vec::new();
+    while node.now < ends {
+        let mut due = probes(&node.wait(1.0));
+        while let Some(server) = due.pop() {
+            made.push((node.now, server));
+            if let Some(outcome) = says(server) {
+                due.extend(probes(&node.event(Event::Probed { server, outcome, took: 0.5 })));
+            }
+        }
+    }
+    made
+}
+
+/// Guards against a node that is kept busy by the checks of thousands of servers, all at one moment.
+#[test]
+fn checks_of_thousands_of_servers_are_spread_and_bounded() {
+    for (nodes, in_use) in [(4, 800), (44, CHECKED), (300, 86), (900, 29)] {
+        let mut node = unfollowed(nodes, 3_200);
+        let made = checks(&mut node, 9_000.0, |_| Some(Outcome::Done));
+        let mut times: BTreeMap<ServerId, Vec<f64>> = BTreeMap::new();
+        made.iter().for_each(|(at, server)| times.entry(*server).or_default().push(*at));
+        assert_eq!(times.len(), in_use, "{nodes} nodes");
+        for (server, times) in &times {
+            let gaps: Vec<f64> = times.windows(2).map(|two| two[1] - two[0]).collect();
+            assert!(gaps.iter().all(|gap| *gap <= CHECK_EVERY), "{nodes} nodes, {server:?}: {times:?}");
+        }
+        let first = made[0].0;
+        // A check each millisecond at first, then each server once in its period.
+        let in_burst = |from: f64| made.iter().filter(|(at, _)| (from..from + 100.0).contains(at)).count();
+        let most = (0..80).map(|n| in_burst(first + 1_500.0 + 50.0 * f64::from(n))).max().unwrap_or(0);
+        let even = in_use as f64 / 20.0;
+        assert!(in_burst(first) <= 110, "{nodes} nodes: {} at first", in_burst(first));
+        if in_use > 86 {
+            assert!(most as f64 <= 1.5 * even + 2.0, "{nodes} nodes: {most} in a tenth of a second");
+        }
+    }
+}
+
+/// Guards against checks that take all descriptors where servers do not answer.
+#[test]
+fn no_more_checks_are_out_than_there_may_be() {
+    let mut node = unfollowed(4, 3_200);
+    let made = checks(&mut node, 9_000.0, |_| None);
+    assert_eq!(made.len(), ASKED_MOST);
+    let (_, server) = made[0];
+    let more = probes(&node.event(Event::Probed { server, outcome: Outcome::TimedOut, took: 100.0 }));
+    assert_eq!(more.len(), 1, "the next one has its place");
+}
+
+/// All nodes together use all servers, though each uses a part of them.
+#[test]
+fn the_parts_that_nodes_can_check_cover_the_fleet() {
+    let mut used: BTreeSet<ServerId> = BTreeSet::new();
+    for number in 0..4 {
+        let set = Settings { discovery: Discovery::Asked, nodes: 4, number, ..settings() };
+        let mut node = Node::new_seeded(set, (0..3_200).map(|id| entry(id, 1.0)).collect(), 1);
+        node.event(Event::ListFailed(ListFailure::Ended));
+        used.extend(
+            checks(&mut node, 2_000.0, |_| Some(Outcome::Done)).into_iter().map(|(_, server)| server),
+        );
+    }
+    assert_eq!(used.len(), 3_200);
+}
+
+/// A node that follows the list again uses all its servers again, and asks none.
+#[test]
+fn the_rotation_is_whole_again_once_the_list_is_followed() {
+    let mut node = unfollowed(4, 1_000);
+    checks(&mut node, 2_000.0, |_| Some(Outcome::Done));
+    node.event(Event::ListChange(Vec::new()));
+    let used: BTreeSet<ServerId> = (0..1_000).filter_map(|_| node.serve(SAFE, 1.0)).collect();
+    assert_eq!(used.len(), 1_000);
+    assert!(checks(&mut node, 3_000.0, |_| Some(Outcome::Done)).is_empty());
+}
+
+/// A server that has said nothing for too long gets nothing while one has room that has.
+#[test]
+fn a_server_whose_word_is_old_gets_nothing_while_a_fresher_one_has_room() {
+    let mut node = unfollowed(1, 4);
+    let says = |server: ServerId| (server.0 < 2).then_some(Outcome::Done);
+    checks(&mut node, 2_000.0, says);
+    for _ in 0..40 {
+        assert!(node.serve(SAFE, 1.0).is_some_and(|to| to.0 < 2));
+    }
+    assert!(node.balancer.accepts(ServerId(0)) && !node.balancer.accepts(ServerId(2)));
+    assert_eq!(node.balancer.doubtful_sends(), DoubtfulSends::default());
+    // Nobody is fresher than anybody: the node goes on.
+    checks(&mut node, 3_000.0, |_| None);
+    assert!(node.serve(SAFE, 1.0).is_some());
+    assert_eq!(node.balancer.doubtful_sends(), DoubtfulSends { stale: 1, refused: 0 });
+    assert!(node.balancer.accepts(ServerId(2)));
+}
+
+/// How long the list may be acted on that was followed until it was lost, by how it was.
+#[test]
+fn what_was_known_when_the_list_was_lost_holds_until_news_count_as_told() {
+    for (failure, holds) in
+        [(ListFailure::Ended, 1_400.0), (ListFailure::Silent { told_in: 1_800.0 }, 3_100.0)]
+    {
+        let set = Settings { discovery: Discovery::Asked, nodes: 1, ..settings() };
+        let mut node = Node::new_seeded(set, (0..2).map(|id| entry(id, 1.0)).collect(), 1);
+        node.event(Event::ListChange(Vec::new()));
+        node.event(Event::ListFailed(failure));
+        let lost_at = node.now;
+        // One answers its checks, the other does not.
+        let mut last = lost_at;
+        while node.now < lost_at + 4_000.0 {
+            checks(&mut node, 20.0, |server| (server.0 == 0).then_some(Outcome::Done));
+            if (0..2).any(|_| node.serve(SAFE, 0.0) == Some(ServerId(1))) {
+                last = node.now;
+            }
+        }
+        assert!(last - lost_at <= holds + 1.0, "{failure:?}: {}", last - lost_at);
+        assert!(last - lost_at > holds - 100.0, "{failure:?}: {}", last - lost_at);
+    }
+}
