A health check goes by a kept connection, and by descriptors of its own

Cause: each check opened a connection of its own and left it in the pool, so the pool grew by one for each server each 2 s up to its bound, and a check that found no descriptor took an idle one from requests.

Change: a server in use is checked over a kept connection, with a new one where that is dead; an ejected one is probed over a new one as before. New connections of checks have a sixteenth of the descriptors to themselves (64 at most) and wait for those; they are kept where the server has no other and half of all is free.

--- a/crates/node/src/backend/http1.rs
+++ b/crates/node/src/backend/http1.rs
@@ -61,7 +61,7 @@
     /// Whom it leads to.
     place: Place,
     since: Instant,
-    _held: Held,
+    held: Held,
 }
 
 /// An attempt that is noted as unheard; not any more once this is dropped.
@@ -177,7 +177,15 @@
         }
     }
 
+    /// Keeps a connection. One that a check has made is kept where the server has no other, and room is plenty.
     fn put(&self, server: ServerId, mut link: Link) {
+        if matches!(link.held, Held::Check { .. }) {
+            let has_other = self.idle.borrow().get(&server).is_some_and(|links| !links.is_empty());
+            match self.descriptors.keep_checked().filter(|_| !has_other) {
+                Some(held) => link.held = held,
+                None => return,
+            }
+        }
         link.since = Instant::now();
         self.idle.borrow_mut().entry(server).or_default().push(link);
     }
@@ -196,8 +204,10 @@
 
     /// A new connection, or how the attempt ends without one. A node that has no descriptor or port left has
     /// sent nothing, but that says nothing of the server: as a failed connect it would eject a good one.
-    async fn connect(&self, place: Place) -> Result<Link, Outcome> {
-        let held = self.descriptors.reserve().ok_or(Outcome::NotSent)?;
+    async fn connect(&self, place: Place, is_check: bool) -> Result<Link, Outcome> {
+        let held =
+            if is_check { self.descriptors.reserve_for_check().await } else { self.descriptors.reserve() };
+        let held = held.ok_or(Outcome::NotSent)?;
         let stream = match timeout(self.connect, TcpStream::connect(place.dial.address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if is_own_connect_failure(&error) => {
@@ -210,7 +220,7 @@
         let sock = Sock::new(stream).map_err(|_| failed)?;
         let builder = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(Io(sock.clone())).await;
         let (send, conn) = builder.map_err(|_| failed)?;
-        Ok(Link { sock, send, conn, over: false, place, since: Instant::now(), _held: held })
+        Ok(Link { sock, send, conn, over: false, place, since: Instant::now(), held })
     }
 }
 
@@ -225,6 +235,8 @@
     Call(Rc<Call>),
     /// A probe is to tell whether the process takes connections: a kept one could not.
     Probe,
+    /// A check is to tell whether a server that is in use drains.
+    Check,
 }
 
 impl Message {
@@ -234,7 +246,7 @@
                 Some(rest) => Sending::with_rest(call.body.clone(), rest),
                 None => call.body.clone().into(),
             },
-            Self::Probe => Blocks::default().into(),
+            Self::Probe | Self::Check => Blocks::default().into(),
         }
     }
 
@@ -242,7 +254,7 @@
     fn rest(&self) -> Option<&Rest> {
         match self {
             Self::Call(call) => call.rest.as_ref(),
-            Self::Probe => None,
+            Self::Probe | Self::Check => None,
         }
     }
 
@@ -254,7 +266,7 @@
                 *request.uri_mut() = call.target.clone();
                 *request.headers_mut() = call.headers();
             }
-            Self::Probe => {
+            Self::Probe | Self::Check => {
                 *request.uri_mut() = Uri::from_static("/health");
                 request.headers_mut().insert(HOST, HeaderValue::from_static("service.internal"));
             }
@@ -319,14 +331,15 @@
         self.out.borrow().get(&attempt).is_some_and(|out| out.whole_at.get().is_none())
     }
 
-    /// Probes a server.
-    pub fn probe(self: &Rc<Self>, server: ServerId) {
+    /// Probes a server, or checks whether one that is in use drains.
+    pub fn probe(self: &Rc<Self>, server: ServerId, is_in_use: bool) {
         let servers = self.clone();
         tokio::task::spawn_local(async move {
             let sent = Instant::now();
             // As long as a connection may take, and as long again for the answer.
             let end = sent + 2 * servers.pool.connect;
-            let outcome = match exchange(&servers, server, end, &Message::Probe, None).await {
+            let message = if is_in_use { Message::Check } else { Message::Probe };
+            let outcome = match exchange(&servers, server, end, &message, None).await {
                 Ended::Served(_) | Ended::Flows(_) => Outcome::Done,
                 Ended::Without(outcome) | Ended::RunsOn(outcome) => outcome,
             };
@@ -357,6 +370,7 @@
     let whole_at = whole_at.unwrap_or_default();
     let (hub, pool) = (&servers.hub, &servers.pool);
     // What can be sent once is not risked on a connection that may have gone dead.
+    let is_call = matches!(message, Message::Call(_));
     let fresh = matches!(message, Message::Probe) || message.rest().is_some();
     let mut pooled = if fresh { None } else { pool.take(server) };
     loop {
@@ -368,7 +382,7 @@
             Some(link) => Ok(link),
             None => {
                 hub.connecting(server);
-                timeout_at(end.into(), pool.connect(place)).await.unwrap_or(Err(Outcome::NotSent))
+                timeout_at(end.into(), pool.connect(place, !is_call)).await.unwrap_or(Err(Outcome::NotSent))
             }
         };
         let mut link = match link {
@@ -377,7 +391,7 @@
         };
         let accepts = match message {
             Message::Call(_) => hub.accepts(server, place),
-            Message::Probe => hub.place(server) == Some(place),
+            Message::Probe | Message::Check => hub.place(server) == Some(place),
         };
         if !accepts {
             return Ended::Without(Outcome::NotSent);
@@ -386,7 +400,7 @@
         let expected = pool.expect(server);
         let length = match message {
             Message::Call(call) => call.length(),
-            Message::Probe => Some(0),
+            Message::Probe | Message::Check => Some(0),
         };
         match (length, message.rest()) {
             (None, Some(rest)) => link.sock.begin_open(rest.uptake.clone()),
@@ -410,6 +424,9 @@
         }
         let request = message.request(end);
         let sock = link.sock.clone();
+        // A check goes on with a new connection where a kept one is dead.
+        let may_go_on = reused && !is_call;
+        let end = if may_go_on { end.min(sent + pool.connect) } else { end };
         let ended = match message.rest() {
             None => timeout_at(end.into(), converse(&mut link, request)).await.ok(),
             Some(rest) => {
@@ -426,6 +443,9 @@
         if ended.is_none() && whole && !link.sock.heard_any() {
             pool.distrust(server, sent);
         }
+        if may_go_on && !matches!(ended, Some(Ok(_))) {
+            continue;
+        }
         return Ended::Without(match ended {
             // A kept connection that was closed before the first byte was written: nothing was sent, so this
             // is still the same attempt.
--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -5,6 +5,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
+
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// Which part of the descriptors is for health checks alone, and the most of them.
+const CHECKS_PART: usize = 16;
+const CHECKS_MOST: usize = 64;
 
 /// Whoever has connections that stand idle.
 pub trait Idle {
@@ -16,22 +23,42 @@
 pub struct Descriptors {
     held: Rc<Cell<usize>>,
     most: Cell<usize>,
+    /// A part of them that requests never wait for, nor checks for what requests hold.
+    checks: Arc<Semaphore>,
+    for_checks: usize,
     idle: RefCell<Vec<Weak<dyn Idle>>>,
 }
 
 /// One of them.
-pub struct Held(Rc<Cell<usize>>);
+pub enum Held {
+    /// For requests.
+    Request(Rc<Cell<usize>>),
+    /// For a health check.
+    Check {
+        /// Its place among those.
+        _place: OwnedSemaphorePermit,
+    },
+}
 
 impl Drop for Held {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        if let Self::Request(held) = self {
+            held.set(held.get() - 1);
+        }
     }
 }
 
 impl Descriptors {
     /// None is held yet.
     pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Self { held: Rc::default(), most: Cell::new(most), idle: RefCell::default() })
+        let for_checks = (most / CHECKS_PART).clamp(1, CHECKS_MOST);
+        Rc::new(Self {
+            held: Rc::default(),
+            most: Cell::new(most.saturating_sub(for_checks).max(1)),
+            checks: Arc::new(Semaphore::new(for_checks)),
+            for_checks,
+            idle: RefCell::default(),
+        })
     }
 
     /// Connections of `owner` may be closed where there is no descriptor left.
@@ -46,13 +73,14 @@
 
     /// So many there may be from now on; idle ones beyond that are closed.
     pub fn bound(&self, most: usize) {
+        let most = most.saturating_sub(self.for_checks).max(1);
         self.most.set(most);
         while self.held.get() > most && self.evict() {}
     }
 
     /// How many are held.
     pub fn held(&self) -> usize {
-        self.held.get()
+        self.held.get() + self.for_checks - self.checks.available_permits()
     }
 
     /// A descriptor, where there is one or an idle connection makes room.
@@ -61,6 +89,20 @@
             return None;
         }
         self.held.set(self.held.get() + 1);
-        Some(Held(self.held.clone()))
+        Some(Held::Request(self.held.clone()))
+    }
+
+    /// A descriptor for a health check; waits until one of those is free.
+    pub async fn reserve_for_check(&self) -> Option<Held> {
+        let place = self.checks.clone().acquire_owned().await.ok()?;
+        Some(Held::Check { _place: place })
+    }
+
+    /// A descriptor for a connection that a check has made and requests may use, where many are free.
+    pub fn keep_checked(&self) -> Option<Held> {
+        if 2 * self.held.get() >= self.most.get() {
+            return None;
+        }
+        self.reserve()
     }
 }
--- a/crates/node/src/backend/msgpack.rs
+++ b/crates/node/src/backend/msgpack.rs
@@ -540,7 +540,7 @@
     /// Asks a server on a connection of its own: a kept one could not tell whether the process takes them.
     async fn health(&self, server: ServerId) -> Outcome {
         let Some(place) = self.hub.place(server) else { return Outcome::NotSent };
-        let Some(_held) = self.descriptors.reserve() else { return Outcome::NotSent };
+        let Some(_held) = self.descriptors.reserve_for_check().await else { return Outcome::NotSent };
         let stream = match timeout(self.connect, TcpStream::connect(place.dial.address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if is_own_connect_failure(&error) => return Outcome::NotSent,
--- a/crates/node/src/runtime.rs
+++ b/crates/node/src/runtime.rs
@@ -98,7 +98,7 @@
     fn probe(&self, server: ServerId) {
         match self.hub.place(server).map(|place| place.dial.protocol) {
             Some(Protocol::Msgpack) => self.msgpack.probe(server),
-            _ => self.http1.probe(server),
+            _ => self.http1.probe(server, self.hub.uses(server)),
         }
     }
 
