A large fleet asks in time for what a watch that ended did not tell

Cause: where a watch ended, 300 nodes spread the next call over 8.5 s whether or not the service was busy, what the watch had to tell counts as told 2.0 s after, and a health check says nothing of a server that is removed and answers.

Change: the module hears when an answer begins (Event::ListAnswering). Where the calls of all nodes would take the service no more than 3.5 s by that, and it has failed none since, they are spread over 2.0 s; else as before.

The scenario learns how long a call takes at a quiet start now; its checks in tests/list_calls.rs are as they were.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -463,6 +463,11 @@
         self.feed(now, Event::ListNews(entries));
     }
 
+    /// The answer to what was asked of discovery has begun.
+    pub fn list_answering(&mut self, now: Millis) {
+        self.feed(now, Event::ListAnswering);
+    }
+
     /// Asking failed, or the subscription dropped.
     pub fn list_failed(&mut self, now: Millis, failure: ListFailure) {
         self.feed(now, Event::ListFailed(failure));
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -96,7 +96,7 @@
     };
     hub.trace(|_| Doing::Asking { from: Some(version) });
     let mut body = call(service, &format!("/v1/endpoints?watch=1&from={version}")).await?;
-    hub.trace(|_| Doing::Answering);
+    hub.discovery_answering();
     let mut lines = Lines::default();
     let (mut due, mut answered) = (body.due, false);
     loop {
@@ -138,7 +138,7 @@
 async fn whole(hub: &Rc<Hub>, service: SocketAddr) -> Result<u64, Ended> {
     hub.trace(|_| Doing::Asking { from: None });
     let mut body = call(service, "/v1/endpoints").await?;
-    hub.trace(|_| Doing::Answering);
+    hub.discovery_answering();
     let mut text = Vec::new();
     loop {
         // The answer is due as a whole: a piece now and then must not keep the node from asking anew.
--- a/crates/node/src/hub/servers.rs
+++ b/crates/node/src/hub/servers.rs
@@ -68,6 +68,12 @@
         due.into_iter().for_each(|due| self.trace(|_| Doing::CallDue(due)));
     }
 
+    /// The answer to a call has begun.
+    pub fn discovery_answering(&self) {
+        self.trace(|_| Doing::Answering);
+        self.tell(|core, now| core.list_answering(now));
+    }
+
     /// A watch says that it stands, with no news. With the first sign of life the call for it is answered: nothing has changed
     /// since the version that was asked for.
     pub fn discovery_alive(&self, first: bool) {
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -347,6 +347,8 @@
     ListChange(Vec<Entry>),
     /// The same from another source than the one that was asked: no answer to a call.
     ListNews(Vec<Entry>),
+    /// The answer to what was asked has begun: how soon that is tells how busy discovery is.
+    ListAnswering,
     /// Asking failed, or the subscription dropped.
     ListFailed(ListFailure),
     /// Discovery is elsewhere from now on: what was asked of it so far is void.
--- a/crates/policy/src/balance/listed.rs
+++ b/crates/policy/src/balance/listed.rs
@@ -37,7 +37,8 @@
     /// Takes a list over, whole or the entries of it that changed. `answer`: it was asked for.
     pub(super) fn on_list(&mut self, entries: Vec<Entry>, answer: bool, whole: bool) {
         if answer {
-            self.calls.answered(self.are_news(&entries, whole));
+            let news = self.are_news(&entries, whole);
+            self.calls.answered(news);
         }
         if whole {
             for server in self.servers.values_mut() {
--- a/crates/policy/src/discovery.rs
+++ b/crates/policy/src/discovery.rs
@@ -18,6 +18,10 @@
 const REOPEN_LEAST: Millis = 250.0;
 /// Over this at the most where servers can't be asked whether they drain.
 const REOPEN_UNCHECKED: Millis = 2200.0;
+/// Over this at the most where the service has not shown itself busy: what the watch was to tell counts as told then.
+const REOPEN_IN_TIME: Millis = 2000.0;
+/// How long the calls of all nodes may take the service for that: none waits in vain, nor close to that.
+const ROUND_IN_TIME: Millis = REOPEN_IN_TIME + 0.75 * CALL_WAIT;
 /// How many watches may be opened anew without delay, one soon after another.
 const REOPENINGS: f64 = 4.0;
 /// From when on servers are asked, after the list was last followed, and over which time nodes are spread:
@@ -65,6 +69,9 @@
     /// Watches that may be opened anew without delay, as of a time.
     reopenings: f64,
     counted: Millis,
+    /// How long it took until the last answer began; infinite once a call has failed since.
+    answered_in: Millis,
+    /// Since when the list has not been followed; `None` while it is.
     lost: Option<Lost>,
 }
 
@@ -106,7 +113,7 @@
             Discovery::Pushed => State::Settled,
             Discovery::Asked => State::Due(f64::NEG_INFINITY, 0),
         };
-        Self { state, reopenings: REOPENINGS, counted: 0.0, lost: None }
+        Self { state, reopenings: REOPENINGS, counted: 0.0, answered_in: f64::INFINITY, lost: None }
     }
 
     /// The service is elsewhere: whatever pause the old one had earned, the new one is called at once.
@@ -115,6 +122,13 @@
         self.lost.get_or_insert(Lost::new(now, 0.0, STALE_AFTER));
     }
 
+    /// The answer to the call has begun.
+    pub fn answering(&mut self, now: Millis) {
+        if let State::Called(at, _) = self.state {
+            self.answered_in = now - at;
+        }
+    }
+
     /// The call was answered, or the watch that stands has told something. Where it was news, opening the
     /// watch anew was worth it: a service that ends watches in place of telling on them may go on doing so.
     pub fn answered(&mut self, news: bool) {
@@ -172,6 +186,9 @@
             other => other,
         };
         self.lose(now, failure, chance);
+        if failure == ListFailure::Unanswered {
+            self.answered_in = f64::INFINITY;
+        }
         let span = self.span(now, failure, failures, settings);
         // A node that has not asked for so long counts as told as well.
         let latest = called + 0.85 * settings.rules.ask_within;
@@ -202,6 +219,8 @@
         let jam = grown.max(fleet).min((0.4 * within).max(fleet));
         let most = if settings.limits.probes { jam } else { REOPEN_UNCHECKED };
         let least = (settings.nodes as f64 * REOPEN_SPACE).min(REOPEN_LEAST);
+        let is_quick = settings.nodes as f64 * self.answered_in <= ROUND_IN_TIME;
+        let most = if is_quick { most.min(REOPEN_IN_TIME) } else { most };
         let reopen = (fleet - CALL_WAIT).max(least).min(most);
         match failure {
             ListFailure::Unanswered => jam,
@@ -323,6 +342,39 @@
         }
     }
 
+    /// A server that is removed and still answers is known by the list alone: where the service can work off the calls of all
+    /// nodes, they are made before what the watch was to tell counts as told.
+    #[test]
+    fn a_large_fleet_asks_in_time_where_the_service_is_not_busy() {
+        for (nodes, answered_in, within) in [
+            (44, 90.0, 1_300.0),
+            (300, 10.0, 2_000.0),
+            (900, 3.0, 2_000.0),
+            (300, 40.0, 8_500.0),
+            (900, 10.0, 8_500.0),
+        ] {
+            let (settings, mut calls) = (fleet(nodes), Calls::new(Discovery::Asked));
+            assert_eq!(calls.sweep(0.0, &settings), Sweep::Call);
+            calls.answering(answered_in);
+            calls.answered(true);
+            calls.failed(5000.0, ListFailure::Ended, &settings, 1.0);
+            assert_eq!(calls.next(), Some(5000.0 + within), "{nodes} nodes, {answered_in} ms");
+        }
+    }
+
+    /// One that has failed a call since its last answer is busy.
+    #[test]
+    fn a_large_fleet_spreads_its_calls_where_the_service_failed_one() {
+        let (settings, mut calls) = (fleet(300), Calls::new(Discovery::Asked));
+        assert_eq!(calls.sweep(0.0, &settings), Sweep::Call);
+        calls.answering(1.0);
+        calls.failed(10.0, ListFailure::Unanswered, &settings, 0.0);
+        assert_eq!(calls.sweep(10.0, &settings), Sweep::Call);
+        calls.answered(true);
+        calls.failed(5000.0, ListFailure::Ended, &settings, 1.0);
+        assert_eq!(calls.next(), Some(5000.0 + 8_500.0));
+    }
+
     #[test]
     fn the_end_of_a_watch_is_told_from_a_call_without_answer() {
         let (settings, mut calls) = (fleet(44), Calls::new(Discovery::Asked));
--- a/crates/scale/src/scenario/list_calls.rs
+++ b/crates/scale/src/scenario/list_calls.rs
@@ -15,7 +15,7 @@
 pub const NAME: &str = "list calls by nodes";
 
 /// The sizes.
-pub const SIZES: [usize; 4] = [26, 60, 300, 900];
+pub const SIZES: [usize; 5] = [26, 44, 60, 300, 900];
 
 /// How many servers are listed.
 const SERVERS: u64 = 50;
@@ -143,7 +143,9 @@
         };
         for node in 0..nodes {
             let entries = (0..SERVERS).map(entry).collect();
-            fleet.tell(node, 0.0, Event::List { entries, saved: false });
+            // A quiet start: each node calls by itself, and learns how long a call takes.
+            fleet.tell(node, 0.0, Event::List { entries, saved: true });
+            fleet.free = 0.0;
             // Silence is seen at different moments: watches hear of life every 2 s.
             let silent = SILENT_WITHIN * node as f64 / nodes as f64;
             let at = LOST_AT + if trouble == Trouble::Silent { silent } else { 0.0 };
@@ -175,7 +177,7 @@
 
     fn call(&mut self, node: usize, now: Millis) {
         self.calls += usize::from(now >= LOST_AT);
-        if self.trouble == Trouble::Down && now < LOST_AT + AWAY {
+        if self.trouble == Trouble::Down && (LOST_AT..LOST_AT + AWAY).contains(&now) {
             return self.schedule(now, node, Happens::Failed);
         }
         self.free = self.free.max(now) + self.a_call;
@@ -191,6 +193,9 @@
             Trouble::Silent => ListFailure::Silent { told_in: 1_800.0 },
             Trouble::Ended | Trouble::Down => ListFailure::Ended,
         };
+        if what == Happens::Answered {
+            self.tell(node, at, Event::ListAnswering);
+        }
         let event = match what {
             Happens::Timer => Event::Timer,
             Happens::Lost => Event::ListFailed(lost),
