--- a/crates/list/src/entry.rs
+++ b/crates/list/src/entry.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+use serde::de::Visitor;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use serde_json::Value;
 
@@ -40,17 +41,31 @@
     }
 }
 
-impl<'de> Deserialize<'de> for Dial {
-    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
-        let text = String::deserialize(from)?;
+/// Reads a dial where its text stands.
+struct DialText;
+
+impl Visitor<'_> for DialText {
+    type Value = Dial;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("IP address and port")
+    }
+
+    fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<Dial, E> {
         let (protocol, address) = match text.strip_prefix(MSGPACK_SCHEME) {
             Some(rest) => (Protocol::Msgpack, rest),
-            None => (Protocol::Http1, text.as_str()),
+            None => (Protocol::Http1, text),
         };
-        let address = address.parse().map_err(|_| {
-            serde::de::Error::custom(format!("dial: IP address and port expected, not {text:?}"))
-        })?;
-        Ok(Self { address, protocol })
+        let address = address
+            .parse()
+            .map_err(|_| E::custom(format!("dial: IP address and port expected, not {text:?}")))?;
+        Ok(Dial { address, protocol })
+    }
+}
+
+impl<'de> Deserialize<'de> for Dial {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        from.deserialize_str(DialText)
     }
 }
 
@@ -131,12 +146,27 @@
     Left,
 }
 
+/// Reads a line: at once, and by way of its values only where that fails, as they bear a name that comes twice.
+///
+/// # Errors
+/// Names what is missing or malformed.
+pub fn read(text: &[u8]) -> Result<Update, String> {
+    match serde_json::from_slice(text) {
+        Ok(update) => checked(update),
+        Err(_) => update(serde_json::from_slice(text).map_err(|e| e.to_string())?),
+    }
+}
+
 /// Reads a line's object.
 ///
 /// # Errors
 /// Names what is missing or malformed.
 pub fn update(value: Value) -> Result<Update, String> {
-    let update: Update = serde_json::from_value(value).map_err(|e| e.to_string())?;
+    checked(serde_json::from_value(value).map_err(|e| e.to_string())?)
+}
+
+/// Checks that servers that are not gone have an address.
+fn checked(update: Update) -> Result<Update, String> {
     match update.hosts.iter().find(|h| h.dial.is_none() && h.health != Health::Left) {
         Some(host) => Err(format!("{}: dial is missing", host.host)),
         None => Ok(update),
--- a/crates/list/src/lib.rs
+++ b/crates/list/src/lib.rs
@@ -13,6 +13,6 @@
 pub mod start;
 pub mod succession;
 
-pub use entry::{update, Dial, Health, Host, Protocol, Update};
+pub use entry::{read, update, Dial, Health, Host, Protocol, Update};
 pub use merge::{Merge, Source};
 pub use succession::Succession;
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -158,9 +158,7 @@
 }
 
 fn read(text: &[u8]) -> Result<Update, Ended> {
-    let bad = |words: String| Ended::Unreadable(format!("unreadable: {words}"));
-    let value = serde_json::from_slice(text).map_err(|e| bad(e.to_string()))?;
-    list::update(value).map_err(bad)
+    list::read(text).map_err(|words| Ended::Unreadable(format!("unreadable: {words}")))
 }
 
 /// A call's answer; the connection ends with it.
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 
 use glenwood_list::start::{Starts, Told};
-pub use glenwood_list::{update, Dial, Health, Host, Protocol, Update};
+pub use glenwood_list::{read, update, Dial, Health, Host, Protocol, Update};
 use glenwood_policy::{Entry, Listed, Millis, Outcome, ServerId};
 
 use crate::clock::Clock;
--- a/crates/scale/src/scenario/list.rs
+++ b/crates/scale/src/scenario/list.rs
@@ -2,7 +2,7 @@
 
 use std::hint::black_box;
 
-use glenwood_list::{update, Health, Update};
+use glenwood_list::{read, Health, Update};
 use glenwood_node::clock::Clock;
 use glenwood_node::list::{Heard, Marks, Servers};
 use glenwood_policy::{Action, Balancer, Event, Millis};
@@ -67,7 +67,7 @@
     }
 
     fn read(text: &[u8]) -> Update {
-        update(serde_json::from_slice(text).expect("JSON")).expect("a list")
+        read(text).expect("a list")
     }
 
     fn take(&mut self, text: &[u8]) {
