A node rotates over no more servers than it can hold connections to

Seen in thousands.rs at 3,200 servers with the fleet told as 44, half of the watches ending untold: 9,088 connections to servers in 12 s for 14,057 requests, where 200 servers had 236. Cause: the rotation of 582 servers was larger than the 491 connections that a limit of 1,024 sockets leaves for servers, so nearly each turn found its connection given up for another's. Line: subset.rs, subset_size.

Change: a rotation of more than 256 servers (less where connections are few: three quarters of them) is cut to that, or to two nodes for each server, whichever is more. Smaller rotations are as before.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -443,6 +443,11 @@
         self.feed(now, Event::ListChange(entries));
     }
 
+    /// Rotates over no more servers than so many, where the node's part of the fleet is not more; from the next list on.
+    pub fn bound_rotation(&mut self, most: usize) {
+        self.balancer.bound_rotation(most);
+    }
+
     /// Is a server ejected for what was seen of it?
     pub fn is_ejected(&self, server: ServerId) -> bool {
         self.balancer.is_ejected(server)
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    /// How many servers may have a connection at the same time, with room for second ones.
+    pub fn rotation_most(&self) -> usize {
+        self.servers_most() * 3 / 4
+    }
+
     /// How many connections to servers there may be: the rest.
     pub fn servers_most(&self) -> usize {
         self.parts(self.sockets).1
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -171,7 +171,8 @@
     pub fn new(mut config: Config, shares: Option<Shares>) -> Result<Rc<Self>, SettingsError> {
         let tenant_names = std::mem::take(&mut config.settings.tenants);
         let settings = config.settings.clone();
-        let core = Core::new(settings.policy.clone(), config.seed, settings.open_cap)?;
+        let mut core = Core::new(settings.policy.clone(), config.seed, settings.open_cap)?;
+        core.bound_rotation(config.rotation_most());
         let (mut classes, mut tenants) = (Places::default(), Places::default());
         // All are new, and take the places in their order.
         classes.follow(&settings.classes);
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -125,6 +125,8 @@
     subset: Vec<ServerId>,
     /// Of these, those that have lost their turn and have not been given another.
     without_turn: Vec<ServerId>,
+    /// How many there are at the most, where the node's part of the fleet is not more.
+    rotation_most: usize,
     /// The sum of their sizes.
     size: f64,
     /// Their turns.
@@ -371,6 +373,7 @@
             order: Vec::new(),
             subset: Vec::new(),
             without_turn: Vec::new(),
+            rotation_most: subset::ROTATION_MOST,
             size: 0.0,
             turns: Queue::new(),
             chosen: f64::NEG_INFINITY,
--- a/crates/policy/src/balance/subset.rs
+++ b/crates/policy/src/balance/subset.rs
@@ -9,6 +9,10 @@
 /// Nodes that share one server where there are many: enough that their uneven traffic evens out, few enough
 /// for its connections, and for each to see the server often.
 pub(super) const NODES_PER_SERVER: usize = 8;
+/// The most servers that a node rotates over, where its part of the fleet is not more: each needs a connection.
+pub(super) const ROTATION_MOST: usize = 256;
+/// Nodes that share one server at the least, however many servers there are.
+const NODES_PER_SERVER_LEAST: usize = 2;
 /// The fewest servers that a node rotates over, so that there is a round, and another when one fails.
 const SUBSET_LEAST: usize = 2;
 
@@ -39,10 +43,18 @@
         rotated.filter_map(|id| self.servers.get(id))
     }
 
+    /// Rotates over no more servers than so many, where its part of the fleet is not more: those that its connections
+    /// suffice for. Counts from the next list on.
+    pub fn bound_rotation(&mut self, most: usize) {
+        self.rotation_most = most.clamp(SUBSET_LEAST, ROTATION_MOST);
+    }
+
     /// How many warm servers a node rotates over. All of them, until that would be more nodes to a server
     /// than it should bear: connections, and what a node must send to learn of each, grow with both.
     pub(super) fn subset_size(&self, up: usize) -> usize {
-        (NODES_PER_SERVER * up).div_ceil(self.set.nodes).max(SUBSET_LEAST).min(up)
+        let shared_by = |nodes: usize| (nodes * up).div_ceil(self.set.nodes);
+        let most = self.rotation_most.max(shared_by(NODES_PER_SERVER_LEAST));
+        shared_by(NODES_PER_SERVER).min(most).max(SUBSET_LEAST).min(up)
     }
 
     /// How many it rotates over now: no more than it can check while it does.
