A server that says it drains is asked rarely until the list is followed

Seen in thousands.rs at 3,200 servers with the fleet told as 44: 17,529 health checks and 13,704 connections in 14 s. Cause: a server that said 503 was ejected for 2.5 s and then asked again on a new connection, for as long as the list was not followed, and each was replaced in the rotation by another: hundreds of probes a second for an answer that was known. Line: ejection.rs, eject.

Change: while the list is not followed such a server is left alone for four times as long; once it is followed, all that refused are asked within 2.5 s, each at its own time. Test in tests/unfollowed.rs.

--- a/crates/policy/src/balance/checks.rs
+++ b/crates/policy/src/balance/checks.rs
@@ -73,6 +73,9 @@
             if self.subset_size(self.order.len()) > self.checked_most() {
                 self.choose_subset();
             }
+            if !is_checking {
+                self.ask_who_refused();
+            }
             (0..self.subset.len()).for_each(|place| self.schedule_probe(self.subset[place]));
         }
         if let Some(lost) = lost.filter(|_| begins_anew) {
@@ -153,7 +156,7 @@
     }
 
     /// A part of 1 that differs from server to server.
-    fn spread_of(&self, id: ServerId) -> f64 {
+    pub(super) fn spread_of(&self, id: ServerId) -> f64 {
         (crate::table::mix(id.0 ^ self.set.number as u64) >> 11) as f64 / (1u64 << 53) as f64
     }
 }
--- a/crates/policy/src/balance/ejection.rs
+++ b/crates/policy/src/balance/ejection.rs
@@ -8,6 +8,8 @@
 const OUTLIER_FAILURES: u32 = 3;
 /// The same of requests turned away: it drains, and the list is late.
 const TURNED_AWAY: u32 = 2;
+/// How many times the longest ejection a server is left alone that refuses while the list is not followed.
+const REFUSES_FOR: f64 = 4.0;
 /// The most of the fleet that time-outs may eject: beyond it, the fault is likelier the work's or the
 /// fleet's.
 const EJECT_AT_MOST: f64 = 0.5;
@@ -44,17 +46,36 @@
     /// Takes a server out of the rotation for a while, unless too many are out and this one need not be.
     fn eject(&mut self, id: ServerId, sure: bool) {
         let too_many = (self.ejected.len() + 1) as f64 > EJECT_AT_MOST * self.subset.len() as f64;
-        let (now, base, most) =
-            (self.now, 4.0 * self.set.limits.connect_timeout, self.set.rules.ask_within / 4.0);
+        let (now, base) = (self.now, 4.0 * self.set.limits.connect_timeout);
+        let (most, is_checking) = (self.longest_ejection(), self.is_checking);
         let Some(server) = self.servers.get_mut(&id) else { return };
         if server.ejected.is_none() && too_many && !sure {
             return;
         }
         server.ejections += 1;
         let span = (base * f64::from(1u32 << server.ejections.min(10))).min(most);
+        // One that drains says the same again: it is asked rarely until the list is followed, which tells.
+        let span = if server.refuses && is_checking { span.max(REFUSES_FOR * most) } else { span };
         self.set_ejected(id, Some(now + span));
     }
 
+    /// For how long a server is ejected at the most, where it does not refuse.
+    fn longest_ejection(&self) -> Millis {
+        self.set.rules.ask_within / 4.0
+    }
+
+    /// Once the list is followed it tells who drains: all that refused are asked soon, each at its own time.
+    pub(super) fn ask_who_refused(&mut self) {
+        let refused = |id: &ServerId| self.servers.get(id).is_some_and(|server| server.refuses);
+        let refused: Vec<ServerId> = self.ejected.iter().copied().filter(refused).collect();
+        for id in refused {
+            let soon = self.now + self.longest_ejection() * self.spread_of(id);
+            let Some(server) = self.servers.get_mut(&id) else { continue };
+            server.ejected = server.ejected.map(|until| until.min(soon));
+            self.schedule_probe(id);
+        }
+    }
+
     /// Ejects a server whose process may be down until a probe, sent at once, has told: connections that end
     /// must not cost a good server a second of its turns and a cold start. A way that is cut has told enough.
     fn suspect(&mut self, id: ServerId, outcome: Outcome, took: Millis) {
--- a/crates/policy/tests/unfollowed.rs
+++ b/crates/policy/tests/unfollowed.rs
@@ -148,3 +148,18 @@
         assert!(last - lost_at > holds - 100.0, "{failure:?}: {}", last - lost_at);
     }
 }
+
+/// Guards against a node that goes on asking all that drain, by the hundred, for as long as the list is not followed.
+#[test]
+fn a_server_that_refuses_is_asked_rarely_until_the_list_is_followed() {
+    let mut node = unfollowed(1, 8);
+    let says = |server: ServerId| Some(if server.0 == 3 { Outcome::Error } else { Outcome::Done });
+    let made = checks(&mut node, 9_000.0, says);
+    assert_eq!(made.iter().filter(|(_, server)| server.0 == 3).count(), 1, "{made:?}");
+    assert!(!(0..30).any(|_| node.serve(SAFE, 1.0) == Some(ServerId(3))));
+    // It is listed as up: whether it takes requests again is soon asked.
+    node.event(Event::ListChange(Vec::new()));
+    let made = checks(&mut node, 2_600.0, |_| Some(Outcome::Done));
+    assert!(made.iter().any(|(_, server)| server.0 == 3), "{made:?}");
+    assert!((0..30).any(|_| node.serve(SAFE, 1.0) == Some(ServerId(3))));
+}
