--- a/crates/node/tests/peers/list_service.rs
+++ b/crates/node/tests/peers/list_service.rs
@@ -9,6 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
 
 use super::lists::WATCH;
 use super::{answer, line};
@@ -46,9 +47,15 @@
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
     changed: Arc<watch::Sender<u64>>,
+    accepting: Arc<Mutex<Option<JoinHandle<()>>>>,
 }
 
 impl ListService {
+    /// Ends it.
+    pub fn end(&self) {
+        self.accepting.lock().expect("no panic").take().into_iter().for_each(|accepting| accepting.abort());
+    }
+
     /// Starts one with a list.
     pub fn start(hosts: &[Value]) -> Self {
         let listener =
@@ -67,17 +74,23 @@
             address: listener.local_addr().expect("bound"),
             state: Arc::new(Mutex::new(state)),
             changed: Arc::new(watch::channel(1).0),
+            accepting: Arc::default(),
         };
         let this = service.clone();
-        runtime().spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+        let accepting = runtime().spawn(async move {
+            // Ended with this task.
+            let mut serving = JoinSet::new();
+            loop {
+                let (stream, _) = listener.accept().await.expect("a connection");
                 let this = this.clone();
-                runtime().spawn(async move {
+                serving.spawn(async move {
                     // It ends when the node has had enough.
                     let _ = this.serve(stream).await;
                 });
+                while serving.try_join_next().is_some() {}
             }
         });
+        *service.accepting.lock().expect("no panic") = Some(accepting);
         service
     }
 
--- a/crates/node/tests/peers/many.rs
+++ b/crates/node/tests/peers/many.rs
@@ -6,9 +6,11 @@
 use std::time::{Duration, Instant};
 
 use glenwood_testkit::{http, runtime};
+use rustix::process::{getrlimit, setrlimit, Resource};
 use serde_json::Value;
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, JoinSet};
 
 use super::dice::Dice;
 use super::record::{Record, Sent};
@@ -42,6 +44,20 @@
     servers: Arc<Vec<One>>,
     checks: Arc<AtomicUsize>,
     connections: Arc<AtomicUsize>,
+    accepting: Vec<JoinHandle<()>>,
+}
+
+impl Drop for ManyServers {
+    fn drop(&mut self) {
+        self.accepting.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// Lets this process have as many descriptors as it may.
+fn use_all_descriptors() {
+    let mut limit = getrlimit(Resource::Nofile);
+    limit.current = limit.maximum;
+    setrlimit(Resource::Nofile, limit).expect("within what it may have");
 }
 
 /// Where a server listens; the port is any free one.
@@ -52,6 +68,7 @@
 impl ManyServers {
     /// Starts so many; what comes to them is noted in the record.
     pub fn start(count: usize, record: &Arc<Record>) -> Self {
+        use_all_descriptors();
         let servers: Arc<Vec<One>> = Arc::new((0..count).map(|_| One::default()).collect());
         let (checks, connections) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
         let listeners = glenwood_testkit::wait("listeners", async {
@@ -63,6 +80,7 @@
         });
         let address = |listener: &TcpListener| listener.local_addr().expect("bound");
         let addresses = listeners.iter().map(address).collect();
+        let mut accepting = Vec::new();
         for (number, listener) in listeners.into_iter().enumerate() {
             let server = Serving {
                 number,
@@ -71,9 +89,9 @@
                 checks: checks.clone(),
                 connections: connections.clone(),
             };
-            runtime().spawn(server.accept(listener));
+            accepting.push(runtime().spawn(server.accept(listener)));
         }
-        Self { addresses, servers, checks, connections }
+        Self { addresses, servers, checks, connections, accepting }
     }
 
     /// How many there are.
@@ -120,13 +138,17 @@
 
 impl Serving {
     async fn accept(self, listener: TcpListener) {
-        while let Ok((stream, _)) = listener.accept().await {
+        // Ended with this task.
+        let mut serving = JoinSet::new();
+        loop {
+            let (stream, _) = listener.accept().await.expect("a connection");
             let server = self.clone();
             self.connections.fetch_add(1, Ordering::SeqCst);
-            runtime().spawn(async move {
+            serving.spawn(async move {
                 // What breaks a connection is the other side's affair.
                 let _ = server.serve(stream).await;
             });
+            while serving.try_join_next().is_some() {}
         }
     }
 
--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -90,9 +90,11 @@
             class["Slo"] = json!(1000.0);
             class["Deadline"] = json!(3000.0);
         }
-        let operator = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{}.toml", std::process::id()));
+        let operator =
+            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{}.toml", std::process::id()));
         std::fs::write(&operator, "[trace]\non = true\n").expect("a file");
-        let (processes, lists, ends) = (RwLock::default(), Mutex::new(Lists::Followed), AtomicBool::new(false));
+        let (processes, lists, ends) =
+            (RwLock::default(), Mutex::new(Lists::Followed), AtomicBool::new(false));
         Self { record, servers, service, processes, config, operator, nodes, lists, ends }
     }
 
@@ -142,14 +144,18 @@
     /// What the node at that address has said of a request.
     fn timeline(&self, address: SocketAddr, id: &str) -> String {
         let processes = self.processes.read().expect("no panic");
-        let Some(process) = processes.iter().find(|p| p.node.address == address) else { return String::new() };
+        let Some(process) = processes.iter().find(|p| p.node.address == address) else {
+            return String::new();
+        };
         let ends = format!(" {id}");
         let taken = process.node.log_of(|line| line.contains(" id ") && line.ends_with(&ends));
         let number = taken.first().and_then(|line| line.rsplit(' ').nth(1)).unwrap_or("none").to_string();
         let about = |line: &str| {
             let of_request = [" ask ", " send ", " end ", " answer ", " id "];
             (of_request.iter().any(|word| line.contains(word)) && line.split(' ').nth(3) == Some(&number))
-                || [" call", " watch-ended", " version", " reload", "stops"].iter().any(|word| line.contains(word))
+                || [" call", " watch-ended", " version", " reload", "stops"]
+                    .iter()
+                    .any(|word| line.contains(word))
         };
         process.node.log_of(about).join("\n  ")
     }
@@ -162,6 +168,12 @@
     }
 }
 
+impl Drop for World {
+    fn drop(&mut self) {
+        self.service.end();
+    }
+}
+
 /// A client that asks again and again; it keeps its connection for as long as that stands, also while its node stops.
 fn ask_on(world: &World, number: usize, seed: u64) {
     let mut dice = Dice(seed ^ (number as u64 + 1) << 32);
@@ -352,7 +364,9 @@
     let what = format!("seed {seed}: {servers} servers, fleet told as {fleet}, {nodes} processes");
     println!("{what}: {served} of {asked} served, driver late by {:.0?}", late.longest());
     let breaches = world.record.breaches(|node, id| world.has_taken(node, id));
-    let told = |breach: &Breach| format!("{what}: {breach}\n  {}\n{faults:?}", world.timeline(breach.node, &breach.id));
+    let told = |breach: &Breach| {
+        format!("{what}: {breach}\n  {}\n{faults:?}", world.timeline(breach.node, &breach.id))
+    };
     let mut broken: Vec<String> = breaches.iter().map(told).collect();
     if (served as f64) < SERVED * asked as f64 {
         broken.push(format!("{what}: {served} of {asked} requests served"));
--- a/crates/node/tests/thousands.rs
+++ b/crates/node/tests/thousands.rs
@@ -5,7 +5,7 @@
 mod peers;
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use peers::dice::Dice;
@@ -36,6 +36,12 @@
 const RUNS: Duration = Duration::from_millis(20);
 const STANDS: Duration = Duration::from_millis(60);
 
+impl Drop for World {
+    fn drop(&mut self) {
+        self.service.end();
+    }
+}
+
 /// How the list is lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Trouble {
@@ -200,6 +206,9 @@
     let memory: Vec<usize> = world.nodes.iter().map(|node| node.peak_memory() >> 20).collect();
     let connections = world.servers.connections();
     let (checks, (watches, calls)) = (world.servers.checks(), world.service.counts());
+    if std::env::var("GLENWOOD_LOGS").is_ok() {
+        world.nodes.iter().for_each(|node| println!("{:#?}", node.log_of(|_| true)));
+    }
     world.record.is_late_by(late);
     let breaches = world.record.breaches(|_, _| true);
     let broken_by = |rule: Rule| breaches.iter().filter(|breach| breach.rule == rule).count();
@@ -222,7 +231,11 @@
     std::env::var(variable).map_or_else(|_| otherwise.to_vec(), read)
 }
 
+/// One play at a time: each is thousands of sockets.
+static ALONE: Mutex<()> = Mutex::new(());
+
 fn hold_the_rules(trouble: Trouble, part_of_a_core: bool, fleets: &[usize]) {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     let seeds = numbers_in("GLENWOOD_SEEDS", &[1])[0] as u64;
     let mut broken = Vec::new();
     for servers in numbers_in("GLENWOOD_SERVERS", &[SERVERS]) {
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -12,6 +12,7 @@
 mod rotation;
 mod subset;
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::api::*;
@@ -111,6 +112,8 @@
     is_checking: bool,
     /// When the last of the checks was made that told that a server takes what is new.
     last_checked: Millis,
+    /// See [`Balancer::steps`].
+    steps: Cell<u64>,
     /// Sends against what is known of their servers.
     sends: DoubtfulSends,
     /// All that have less than their capacity as yet, and some that have all of it by now.
@@ -366,6 +369,7 @@
             checked_for: None,
             is_checking: false,
             last_checked: f64::NEG_INFINITY,
+            steps: Cell::new(0),
             sends: DoubtfulSends::default(),
             warming: BTreeSet::new(),
             cold: BTreeSet::new(),
@@ -875,7 +879,10 @@
         let end = if class.late_worth > 0.0 { request.deadline } else { self.useful_until(request) };
         let time = end - self.now > self.classes[request.class].mean;
         let cost = if outcome.never_ran() { 0.0 } else { 1.0 };
-        let may = self.rotated().any(|s| request.may_repeat(&self.set.limits, self.now, Some(&s.entry)));
+        let may_go = |s: &Server| request.may_repeat(&self.set.limits, self.now, Some(&s.entry));
+        let is_bound = matches!(request.effect, Effect::Keyed { group: Group::Zone | Group::Cell, .. });
+        // Where no zone or cell binds it, one server is as good as any other.
+        let may = self.by_turn().take(if is_bound { usize::MAX } else { 1 }).any(may_go);
         let reason = if !time {
             Reason::NoTime
         } else if !may {
@@ -995,14 +1002,14 @@
         let least = self.least_limit();
         let free = |s: &Server| (s.allowed(self.fleet, least) as usize).saturating_sub(s.out.len()).max(1);
         // By their turns, as those that come first are the ones that are ready.
-        let next = self.turns.iter().filter_map(|id| self.servers.get(&id));
-        let mut places = next.filter(|s| self.word_of(s) != Word::Refuses && self.ready(s)).map(free).scan(
-            0,
-            |sum, places| {
+        let mut places = self
+            .by_turn()
+            .filter(|s| self.word_of(s) != Word::Refuses && self.ready(s))
+            .map(free)
+            .scan(0, |sum, places| {
                 *sum += places;
                 Some(*sum)
-            },
-        );
+            });
         places.any(|sum| sum >= wanted)
     }
 
--- a/crates/policy/src/balance/freshness.rs
+++ b/crates/policy/src/balance/freshness.rs
@@ -73,7 +73,7 @@
     /// Has any server a fresh word, and room?
     fn any_fresh(&self) -> bool {
         let is_fresh = |server: &Server| self.word_of(server) == Word::Fresh && self.ready(server);
-        self.may_be_fresh() && self.turns.iter().filter_map(|id| self.servers.get(&id)).any(is_fresh)
+        self.may_be_fresh() && self.by_turn().any(is_fresh)
     }
 
     /// Counts a send by what is known of its server.
--- a/crates/policy/src/balance/rotation.rs
+++ b/crates/policy/src/balance/rotation.rs
@@ -12,13 +12,13 @@
 
     /// Takes turns until one falls to a server that `ready` lets through; others are passed over in place.
     pub(super) fn next_turn(&mut self, ready: impl Fn(&Self, &Server) -> bool) -> Option<ServerId> {
-        let is_ready = |id: ServerId| self.servers.get(&id).is_some_and(|server| ready(self, server));
-        if !self.turns.iter().any(is_ready) {
+        if !self.by_turn().any(|server| ready(self, server)) {
             return None;
         }
         self.bring_warming_closer();
         loop {
             let (id, turn) = self.turns.first()?;
+            self.steps.set(self.steps.get() + 1);
             let passes = self.servers.get(&id).is_some_and(|server| ready(self, server));
             (self.cursor, self.cursor_at) = (turn, Some(id));
             let server = self.servers.get_mut(&id)?;
--- a/crates/policy/src/balance/subset.rs
+++ b/crates/policy/src/balance/subset.rs
@@ -29,7 +29,22 @@
 impl Balancer {
     /// The servers of the subset.
     pub(super) fn rotated(&self) -> impl Iterator<Item = &Server> + Clone {
-        self.subset.iter().filter_map(|id| self.servers.get(id))
+        self.subset.iter().filter_map(|id| self.servers.get(id)).inspect(|_| self.count_step())
+    }
+
+    /// The servers of the subset, in the order of their turns.
+    pub(super) fn by_turn(&self) -> impl Iterator<Item = &Server> {
+        self.turns.iter().filter_map(|id| self.servers.get(&id)).inspect(|_| self.count_step())
+    }
+
+    fn count_step(&self) {
+        self.steps.set(self.steps.get() + 1);
+    }
+
+    /// How many looks at single servers the walks over the rotation have taken so far: what an event costs must not grow
+    /// with the servers.
+    pub fn steps(&self) -> u64 {
+        self.steps.get()
     }
 
     /// Is a server in the subset?
@@ -40,7 +55,7 @@
     /// Those of these servers that are in the subset.
     pub(super) fn rotated_of<'a>(&'a self, ids: &'a BTreeSet<ServerId>) -> impl Iterator<Item = &'a Server> {
         let rotated = ids.iter().filter(|id| self.is_rotated(**id));
-        rotated.filter_map(|id| self.servers.get(id))
+        rotated.filter_map(|id| self.servers.get(id)).inspect(|_| self.count_step())
     }
 
     /// Rotates over no more servers than so many, where its part of the fleet is not more: those that its connections
