Comments of the decision module keep to their width, the new files too

Comments are wrapped; the test looks at checks, freshness, rotation and queue as well now, so it asks for more than before. No line of code changed.

--- a/crates/policy/src/balance/checks.rs
+++ b/crates/policy/src/balance/checks.rs
@@ -1,8 +1,8 @@
 //! When servers are asked by their health checks: one that is ejected, to see it recover; the others, to hear
 //! whether they drain while the list is not followed.
 //!
-//! Checks are spread over their period and bounded: a node that checks as many servers as it can within the time
-//! in which news count as told uses no others meanwhile.
+//! Checks are spread over their period and bounded: a node that checks as many servers as it can within the
+//! time in which news count as told uses no others meanwhile.
 
 use super::{Balancer, Server};
 use crate::api::*;
--- a/crates/policy/src/balance/freshness.rs
+++ b/crates/policy/src/balance/freshness.rs
@@ -1,16 +1,16 @@
-//! Whether something new may be sent to a server, by the age of what is known of it. Every send goes by this: first
-//! and further attempts, second copies, and what has waited for its connection.
+//! Whether something new may be sent to a server, by the age of what is known of it. Every send goes by
+//! this: first and further attempts, second copies, and what has waited for its connection.
 //!
-//! While the list is followed it tells. Where it is not, what was known when it was lost holds for a while, and
-//! what a server says in its health check for a while after that; an older word is stale. A server whose word is
-//! stale gets nothing while one with a fresh word has room.
+//! While the list is followed it tells. Where it is not, what was known when it was lost holds for a while,
+//! and what a server says in its health check for a while after that; an older word is stale. A server
+//! whose word is stale gets nothing while one with a fresh word has room.
 
 use super::{Balancer, Server};
 use crate::api::*;
 use crate::discovery::Lost;
 
-/// For how long what a server says in its health check may be acted on: until the next check has been answered, and
-/// no longer than news that it could not know of need to count as told.
+/// For how long what a server says in its health check may be acted on: until the next check has been
+/// answered, and no longer than news that it could not know of need to count as told.
 const CHECK_HOLDS: Millis = 2400.0;
 
 /// How good what is known of a server is.
@@ -25,7 +25,8 @@
 }
 
 impl Balancer {
-    /// Since when the list has not been followed, where servers can be asked instead: else nothing is fresher than anything.
+    /// Since when the list has not been followed, where servers can be asked instead: else nothing is
+    /// fresher than anything.
     fn doubt(&self) -> Option<Lost> {
         self.calls.lost().filter(|_| self.set.limits.probes)
     }
--- a/crates/policy/src/balance/subset.rs
+++ b/crates/policy/src/balance/subset.rs
@@ -9,7 +9,8 @@
 /// Nodes that share one server where there are many: enough that their uneven traffic evens out, few enough
 /// for its connections, and for each to see the server often.
 pub(super) const NODES_PER_SERVER: usize = 8;
-/// The most servers that a node rotates over, where its part of the fleet is not more: each needs a connection.
+/// The most servers that a node rotates over, where its part of the fleet is not more: each needs a
+/// connection.
 pub(super) const ROTATION_MOST: usize = 256;
 /// Nodes that share one server at the least, however many servers there are.
 const NODES_PER_SERVER_LEAST: usize = 2;
@@ -41,8 +42,8 @@
         self.steps.set(self.steps.get() + 1);
     }
 
-    /// How many looks at single servers the walks over the rotation have taken so far: what an event costs must not grow
-    /// with the servers.
+    /// How many looks at single servers the walks over the rotation have taken so far: what an event costs
+    /// must not grow with the servers.
     pub fn steps(&self) -> u64 {
         self.steps.get()
     }
@@ -58,8 +59,8 @@
         rotated.filter_map(|id| self.servers.get(id)).inspect(|_| self.count_step())
     }
 
-    /// Rotates over no more servers than so many, where its part of the fleet is not more: those that its connections
-    /// suffice for. Counts from the next list on.
+    /// Rotates over no more servers than so many, where its part of the fleet is not more: those that its
+    /// connections suffice for. Counts from the next list on.
     pub fn bound_rotation(&mut self, most: usize) {
         self.rotation_most = most.clamp(SUBSET_LEAST, ROTATION_MOST);
     }
@@ -91,7 +92,8 @@
     /// The order in which this node prefers the sorted `members`: an even cover of the fleet by all nodes.
     pub(super) fn preference(&self, members: &[ServerId]) -> Vec<ServerId> {
         let is_whole = self.subset_size(members.len()) == members.len();
-        // Of more it uses a part while the list is not followed, which must not be the same part at all nodes.
+        // Of more it uses a part while the list is not followed, which must not be the same part at all
+        // nodes.
         if is_whole && members.len() <= self.checked_most() {
             return members.to_vec();
         }
--- a/crates/policy/src/discovery.rs
+++ b/crates/policy/src/discovery.rs
@@ -18,7 +18,8 @@
 const REOPEN_LEAST: Millis = 250.0;
 /// Over this at the most where servers can't be asked whether they drain.
 const REOPEN_UNCHECKED: Millis = 2200.0;
-/// Over this at the most where the service has not shown itself busy: what the watch was to tell counts as told then.
+/// Over this at the most where the service has not shown itself busy: what the watch was to tell counts as
+/// told then.
 const REOPEN_IN_TIME: Millis = 2000.0;
 /// How long the calls of all nodes may take the service for that: none waits in vain, nor close to that.
 const ROUND_IN_TIME: Millis = REOPEN_IN_TIME + 0.75 * CALL_WAIT;
@@ -342,8 +343,8 @@
         }
     }
 
-    /// A server that is removed and still answers is known by the list alone: where the service can work off the calls of all
-    /// nodes, they are made before what the watch was to tell counts as told.
+    /// A server that is removed and still answers is known by the list alone: where the service can work
+    /// off the calls of all nodes, they are made before what the watch was to tell counts as told.
     #[test]
     fn a_large_fleet_asks_in_time_where_the_service_is_not_busy() {
         for (nodes, answered_in, within) in [
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -34,7 +34,8 @@
         Self { order: BTreeSet::new(), times: BTreeMap::new() }
     }
 
-    /// Puts a key at a time, in place of any other; one that never comes (infinite, or no number) takes it out.
+    /// Puts a key at a time, in place of any other; one that never comes (infinite, or no number) takes it
+    /// out.
     pub fn set(&mut self, key: K, time: f64) {
         if self.times.get(&key) == Some(&time) {
             return;
--- a/crates/simhost/tests/adapter.rs
+++ b/crates/simhost/tests/adapter.rs
@@ -144,10 +144,14 @@
     assert!((300..=1200).contains(&lines), "{lines} lines");
     let parts = [
         text,
+        include_str!("../../policy/src/balance/checks.rs"),
         include_str!("../../policy/src/balance/ejection.rs"),
+        include_str!("../../policy/src/balance/freshness.rs"),
         include_str!("../../policy/src/balance/listed.rs"),
+        include_str!("../../policy/src/balance/rotation.rs"),
         include_str!("../../policy/src/balance/subset.rs"),
         include_str!("../../policy/src/discovery.rs"),
+        include_str!("../../policy/src/queue.rs"),
     ];
     for line in parts.iter().flat_map(|part| part.lines()) {
         assert!(line.chars().count() <= 110, "too long: {line}");
