--- a/crates/node/src/backend/http1.rs
+++ b/crates/node/src/backend/http1.rs
@@ -179,7 +179,7 @@
 
     /// Keeps a connection. One that a check has made is kept where the server has no other, and room is plenty.
     fn put(&self, server: ServerId, mut link: Link) {
-        if matches!(link.held, Held::Check { .. }) {
+        if link.held.is_for_check() {
             let has_other = self.idle.borrow().get(&server).is_some_and(|links| !links.is_empty());
             match self.descriptors.keep_checked().filter(|_| !has_other) {
                 Some(held) => link.held = held,
--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -9,7 +9,7 @@
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-/// Which part of the descriptors is for health checks alone, and the most of them.
+/// Which part of the descriptors health checks may hold at the same time, and the most of them.
 const CHECKS_PART: usize = 16;
 const CHECKS_MOST: usize = 64;
 
@@ -23,28 +23,28 @@
 pub struct Descriptors {
     held: Rc<Cell<usize>>,
     most: Cell<usize>,
-    /// A part of them that requests never wait for, nor checks for what requests hold.
+    /// How many of them health checks may hold at the same time.
     checks: Arc<Semaphore>,
-    for_checks: usize,
     idle: RefCell<Vec<Weak<dyn Idle>>>,
 }
 
 /// One of them.
-pub enum Held {
-    /// For requests.
-    Request(Rc<Cell<usize>>),
-    /// For a health check.
-    Check {
-        /// Its place among those.
-        _place: OwnedSemaphorePermit,
-    },
+pub struct Held {
+    count: Rc<Cell<usize>>,
+    /// Its place among those of health checks, where it is for one.
+    check: Option<OwnedSemaphorePermit>,
+}
+
+impl Held {
+    /// Is it for a health check?
+    pub fn is_for_check(&self) -> bool {
+        self.check.is_some()
+    }
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
-        if let Self::Request(held) = self {
-            held.set(held.get() - 1);
-        }
+        self.count.set(self.count.get() - 1);
     }
 }
 
@@ -54,9 +54,8 @@
         let for_checks = (most / CHECKS_PART).clamp(1, CHECKS_MOST);
         Rc::new(Self {
             held: Rc::default(),
-            most: Cell::new(most.saturating_sub(for_checks).max(1)),
+            most: Cell::new(most),
             checks: Arc::new(Semaphore::new(for_checks)),
-            for_checks,
             idle: RefCell::default(),
         })
     }
@@ -73,14 +72,13 @@
 
     /// So many there may be from now on; idle ones beyond that are closed.
     pub fn bound(&self, most: usize) {
-        let most = most.saturating_sub(self.for_checks).max(1);
         self.most.set(most);
         while self.held.get() > most && self.evict() {}
     }
 
     /// How many are held.
     pub fn held(&self) -> usize {
-        self.held.get() + self.for_checks - self.checks.available_permits()
+        self.held.get()
     }
 
     /// A descriptor, where there is one or an idle connection makes room.
@@ -89,13 +87,15 @@
             return None;
         }
         self.held.set(self.held.get() + 1);
-        Some(Held::Request(self.held.clone()))
+        Some(Held { count: self.held.clone(), check: None })
     }
 
-    /// A descriptor for a health check; waits until one of those is free.
+    /// A descriptor for a health check; waits until fewer checks hold one than may.
     pub async fn reserve_for_check(&self) -> Option<Held> {
         let place = self.checks.clone().acquire_owned().await.ok()?;
-        Some(Held::Check { _place: place })
+        let mut held = self.reserve()?;
+        held.check = Some(place);
+        Some(held)
     }
 
     /// A descriptor for a connection that a check has made and requests may use, where many are free.
