Failing tests: answers that are not those of their requests

Operators saw wrong answers, unsafe and keyed requests run twice, and refusals of what may have run, with three nodes and six servers.

Servers send a second answer late, or an unasked one on a new connection.

The record of tests now knows two more rules (an answer that no server made; a refusal of what ran), and servers of many.rs send strays.

--- a/crates/node/tests/faults_together.rs
+++ b/crates/node/tests/faults_together.rs
@@ -94,12 +94,14 @@
             return Say::This(answer(if drains_for.is_some() { 503 } else { 200 }, "", ""));
         }
         let number_in = |name| message.header(name).and_then(|value| value.parse().ok());
+        let id = message.header("x-txn").unwrap_or_default().to_string();
         record.sent(Sent {
-            id: message.header("x-txn").unwrap_or_default().to_string(),
+            id: id.clone(),
             server: number,
             cell: number as u64 / 2,
             at,
             told: Duration::from_millis(number_in("x-remaining-ms").unwrap_or(u64::MAX / 2)),
+            runs: true,
             drains_for,
         });
         let mut dice = dice.lock().expect("no panic");
@@ -115,7 +117,7 @@
             std::thread::sleep(takes);
             return Say::Last(Vec::new());
         }
-        Say::Later(takes, answer(200, "", "served"))
+        Say::Later(takes, answer(200, "", &id))
     });
     let address = links.to_server(number, peer.address);
     Server { _peer: peer, address, drains, born_ms: Mutex::new(0.0) }
@@ -301,7 +303,9 @@
     let answer = client.hear();
     let now = Instant::now();
     match &answer {
-        Some(answer) => record(End::Answered { status: answer.status(), at: now }),
+        Some(answer) => {
+            record(End::Answered { status: answer.status(), at: now, is_own: answer.body == id.as_bytes() })
+        }
         None => record(End::Closed { at: now, node_stops: stops() }),
     }
     answer.is_some_and(|answer| answer.header("connection") != Some("close"))
--- a/crates/node/tests/peers/many.rs
+++ b/crates/node/tests/peers/many.rs
@@ -1,6 +1,7 @@
 //! Thousands of servers in this process, each at an address of its own, and how late this process itself is.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -10,13 +11,18 @@
 use serde_json::{json, Value};
 use socket2::SockRef;
 use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
 
 use super::dice::Dice;
 use super::record::{Record, Sent};
+use super::strays::{unasked, Delivery, Strays};
 use super::{answer, host};
 
+/// How long a server takes for a request where nothing else is said, in milliseconds.
+const QUICK_WORK: Range<u64> = 1..20;
+
 /// What a server does that takes no more requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -50,6 +56,8 @@
     record: Arc<Record>,
     checks: Arc<AtomicUsize>,
     connections: Arc<AtomicUsize>,
+    strays: Arc<Mutex<Strays>>,
+    work: Range<u64>,
     accepting: Mutex<Vec<JoinHandle<()>>>,
 }
 
@@ -74,6 +82,11 @@
 impl ManyServers {
     /// Starts so many; what comes to them is noted in the record.
     pub fn start(count: usize, record: &Arc<Record>) -> Self {
+        Self::start_that_take(count, record, QUICK_WORK)
+    }
+
+    /// The same, with how long they take for a request, in milliseconds.
+    pub fn start_that_take(count: usize, record: &Arc<Record>, work: Range<u64>) -> Self {
         use_all_descriptors();
         let servers: Arc<Vec<One>> = Arc::new((0..count).map(|_| One::default()).collect());
         let (checks, connections) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
@@ -86,8 +99,8 @@
         });
         let address = |listener: &TcpListener| listener.local_addr().expect("bound");
         let addresses = listeners.iter().map(address).collect();
-        let (record, accepting) = (record.clone(), Mutex::default());
-        let all = Self { addresses, servers, record, checks, connections, accepting };
+        let (record, strays, accepting) = (record.clone(), Arc::default(), Mutex::default());
+        let all = Self { addresses, servers, record, checks, connections, strays, work, accepting };
         for (number, listener) in listeners.into_iter().enumerate() {
             let accepting = runtime().spawn(all.process(number).accept(listener));
             all.accepting.lock().expect("no panic").push(accepting);
@@ -103,9 +116,16 @@
             record: self.record.clone(),
             checks: self.checks.clone(),
             connections: self.connections.clone(),
+            strays: self.strays.clone(),
+            work: self.work.clone(),
         }
     }
 
+    /// From now on their exchanges go wrong like that.
+    pub fn send_strays(&self, strays: Strays) {
+        *self.strays.lock().expect("no panic") = strays;
+    }
+
     /// How many there are.
     pub fn count(&self) -> usize {
         self.addresses.len()
@@ -172,6 +192,22 @@
     record: Arc<Record>,
     checks: Arc<AtomicUsize>,
     connections: Arc<AtomicUsize>,
+    strays: Arc<Mutex<Strays>>,
+    work: Range<u64>,
+}
+
+/// The writing side of a connection.
+type Out = Arc<tokio::sync::Mutex<OwnedWriteHalf>>;
+
+async fn write(out: &Out, bytes: &[u8]) -> std::io::Result<()> {
+    out.lock().await.write_all(bytes).await
+}
+
+/// Writes bytes after a while.
+async fn write_later(out: Out, after: Duration, bytes: Vec<u8>) {
+    tokio::time::sleep(after).await;
+    // What breaks a connection is the other side's affair.
+    let _ = write(&out, &bytes).await;
 }
 
 impl Serving {
@@ -194,33 +230,78 @@
         stream.set_nodelay(true)?;
         // A process that ends resets its connections.
         SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
-        let mut stream = BufReader::new(stream);
-        let mut dice = Dice(self.number as u64);
-        while let Some(message) = http::read(&mut stream).await? {
+        let opened = self.connections.load(Ordering::SeqCst) as u64;
+        let mut dice = Dice(self.number as u64 ^ (opened << 20));
+        let (from, to) = stream.into_split();
+        let (mut from, out) = (BufReader::new(from), Arc::new(tokio::sync::Mutex::new(to)));
+        // Ended with this connection.
+        let mut later = JoinSet::new();
+        let on_new = self.strays.lock().expect("no panic").on_new(&mut dice);
+        if let Some(after) = on_new {
+            later.spawn(write_later(out.clone(), after, unasked(&mut dice)));
+        }
+        while let Some(message) = http::read(&mut from).await? {
             let at = Instant::now();
             let ended = *self.all[self.number].ended.lock().expect("no panic");
             if message.target() == "/health" {
                 self.checks.fetch_add(1, Ordering::SeqCst);
                 let drains = ended.is_some_and(|ended| ended.how == Ending::Drains);
-                stream.get_mut().write_all(&answer(if drains { 503 } else { 200 }, "", "")).await?;
+                write(&out, &answer(if drains { 503 } else { 200 }, "", "")).await?;
                 continue;
             }
             let told = message.header("x-remaining-ms").and_then(|value| value.parse().ok());
+            let id = message.header("x-txn").unwrap_or_default().to_string();
+            let turns_away = self.strays.lock().expect("no panic").turns_away(&mut dice);
             self.record.sent(Sent {
-                id: message.header("x-txn").unwrap_or_default().to_string(),
+                id: id.clone(),
                 server: self.number,
                 cell: self.number as u64 / 2,
                 at,
                 told: Duration::from_millis(told.unwrap_or(u64::MAX / 2)),
+                runs: !turns_away,
                 drains_for: ended.and_then(|ended| at.checked_duration_since(ended.told)),
             });
-            tokio::time::sleep(dice.between(1, 20)).await;
-            stream.get_mut().write_all(&answer(200, "", "served")).await?;
+            if turns_away {
+                write(&out, &answer(503, "X-Turned-Away: 1\r\n", "")).await?;
+                continue;
+            }
+            tokio::time::sleep(dice.between(self.work.start, self.work.end)).await;
+            let delivery = self.strays.lock().expect("no panic").delivery(&mut dice);
+            for after in &delivery.unasked_after {
+                later.spawn(write_later(out.clone(), *after, unasked(&mut dice)));
+            }
+            if !deliver(&out, &answer(200, "", &id), &delivery).await? {
+                return Ok(());
+            }
         }
         Ok(())
     }
 }
 
+/// Writes an answer; says whether the connection goes on.
+async fn deliver(out: &Out, bytes: &[u8], delivery: &Delivery) -> std::io::Result<bool> {
+    if delivery.interim {
+        write(out, b"HTTP/1.1 103 Early Hints\r\nLink: </style.css>; rel=preload\r\n\r\n").await?;
+    }
+    if delivery.is_cut {
+        write(out, &bytes[..bytes.len() / 2]).await?;
+        out.lock().await.shutdown().await?;
+        return Ok(false);
+    }
+    if delivery.in_pieces {
+        for piece in bytes.chunks(7) {
+            write(out, piece).await?;
+            tokio::task::yield_now().await;
+        }
+    } else {
+        write(out, &bytes.repeat(1 + usize::from(delivery.twice))).await?;
+    }
+    if delivery.ends {
+        out.lock().await.shutdown().await?;
+    }
+    Ok(!delivery.ends)
+}
+
 /// How late this process is: the longest that any of its threads or tasks slept beyond its time.
 pub struct Lateness {
     ends: Arc<AtomicBool>,
--- a/crates/node/tests/peers/mod.rs
+++ b/crates/node/tests/peers/mod.rs
@@ -19,6 +19,7 @@
 pub mod many;
 pub mod queued_list;
 pub mod record;
+pub mod strays;
 
 /// How long anything that should happen is waited for: far more than it takes, on a busy machine too.
 pub const PATIENCE: Duration = Duration::from_secs(30);
--- a/crates/node/tests/peers/record.rs
+++ b/crates/node/tests/peers/record.rs
@@ -22,8 +22,8 @@
 /// How a request ended for its client.
 #[derive(Clone, Copy, Debug)]
 pub enum End {
-    /// It had its final answer.
-    Answered { status: u16, at: Instant },
+    /// It had its final answer; `is_own`: the one that a server made for this request, if any server made it.
+    Answered { status: u16, at: Instant, is_own: bool },
     /// Its connection ended first.
     Closed { at: Instant, node_stops: bool },
     /// Its client left.
@@ -50,6 +50,8 @@
     pub cell: u64,
     pub at: Instant,
     pub told: Duration,
+    /// The server has carried it out, or will; else it turned it away.
+    pub runs: bool,
     /// How long it has counted as told that the server drains.
     pub drains_for: Option<Duration>,
 }
@@ -77,8 +79,12 @@
 pub enum Rule {
     /// One final answer before the deadline.
     Lost,
+    /// Nobody is served what no server made for the request.
+    Foreign,
     /// Effects never twice beyond the class.
     Duplicate,
+    /// What may have run is not handed back as if it had not.
+    Refused,
     /// Nothing new to a draining server after the grace.
     Drain,
     /// No server is told more time than its client has left.
@@ -207,7 +213,8 @@
         let breaches = |asked: &Asked| {
             let sent = sent.get(&asked.id).map_or(&[][..], Vec::as_slice);
             let taken = || !sent.is_empty() || taken(asked.node, &asked.id);
-            lost(asked, late, taken).into_iter().chain(of_sends(asked, sent, &held, late)).collect::<Vec<_>>()
+            let of_answer = lost(asked, late, taken).into_iter().chain(of_answer(asked, sent));
+            of_answer.chain(of_sends(asked, sent, &held, late)).collect::<Vec<_>>()
         };
         asked.iter().flat_map(breaches).collect()
     }
@@ -220,7 +227,7 @@
 fn lost(asked: &Asked, late: Duration, taken: impl Fn() -> bool) -> Option<Breach> {
     let within = asked.remaining + LATE + late;
     let words = match asked.end {
-        End::Answered { at, status } if at - asked.at > within => {
+        End::Answered { at, status, .. } if at - asked.at > within => {
             format!("answered by {status} after {:?} of {:?}", at - asked.at, asked.remaining)
         }
         // A node that stops closes connections that rest, and a request may cross that.
@@ -232,11 +239,28 @@
     Some(breach(asked, Rule::Lost, words))
 }
 
+/// Which class may be handed back though it has run.
+const HARMLESS_CLASS: &str = "look";
+
+/// What its answer breaks.
+fn of_answer(asked: &Asked, sent: &[Sent]) -> Option<Breach> {
+    let End::Answered { status, at, is_own } = asked.end else { return None };
+    let after = at - asked.at;
+    match status {
+        200 if !is_own => Some(breach(asked, Rule::Foreign, format!("after {after:?} {}", asked.class))),
+        429 | 503 if asked.class != HARMLESS_CLASS && sent.iter().any(|one| one.runs) => {
+            Some(breach(asked, Rule::Refused, format!("{status} after {after:?}, {}: {sent:?}", asked.class)))
+        }
+        _ => None,
+    }
+}
+
 fn of_sends(asked: &Asked, sent: &[Sent], held: &[Held], late: Duration) -> Vec<Breach> {
     let mut breaches = Vec::new();
     let mut add = |rule, words| breaches.push(breach(asked, rule, words));
-    let cells = sent.iter().any(|one| one.cell != sent[0].cell);
-    if (asked.class == "slip" && sent.len() > 1) || (asked.class == "pay" && cells) {
+    let ran: Vec<&Sent> = sent.iter().filter(|one| one.runs).collect();
+    let cells = ran.iter().any(|one| one.cell != ran[0].cell);
+    if (asked.class == "slip" && ran.len() > 1) || (asked.class == "pay" && cells) {
         add(Rule::Duplicate, format!("{} sends of {}: {sent:?}", sent.len(), asked.class));
     }
     for one in sent {
--- a/crates/node/tests/restarts.rs
+++ b/crates/node/tests/restarts.rs
@@ -135,7 +135,9 @@
             let answer = client.hear();
             let now = Instant::now();
             let end = match &answer {
-                Some(answer) => End::Answered { status: answer.status(), at: now },
+                Some(answer) => {
+                    End::Answered { status: answer.status(), at: now, is_own: answer.body == id.as_bytes() }
+                }
                 None => End::Closed { at: now, node_stops: false },
             };
             self.record.asked(Asked { id, class: "look", at, remaining, node: node.address, end });
--- a/crates/node/tests/thousands.rs
+++ b/crates/node/tests/thousands.rs
@@ -161,7 +161,9 @@
         let answer = client.hear();
         let now = Instant::now();
         let end = match &answer {
-            Some(answer) => End::Answered { status: answer.status(), at: now },
+            Some(answer) => {
+                End::Answered { status: answer.status(), at: now, is_own: answer.body == id.as_bytes() }
+            }
             None => End::Closed { at: now, node_stops: false },
         };
         world.record.asked(Asked { id, class, at, remaining, node: node.address, end });
