An interim answer ahead of the final one does not cost its connection

The count of what came back took the interim head for the answer's, and the final answer for bytes behind it (sock.rs, Back). Interim heads are passed over now.

--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -88,22 +88,58 @@
     last[5 - tail.len()..].copy_from_slice(tail);
 }
 
-/// What came back: a head, and how many bytes behind it.
+/// How the first line of a head begins, up to the first digit of its status.
+const STATUS_AT: usize = "HTTP/1.1 ".len();
+
+/// What came back: interim heads, a final head, and how many bytes behind it.
 struct Back {
     head: Progress,
+    /// How many bytes of the present head have come, and the first digit of its status.
+    head_came: usize,
+    status: Option<u8>,
     last: [u8; 5],
+    /// It began to come before the message that it answers had been taken whole.
+    is_ahead: bool,
+    /// When its first byte came.
+    began: Option<Instant>,
 }
 
 impl Default for Back {
     fn default() -> Self {
-        Self { head: Progress { body: usize::MAX, ..Progress::default() }, last: [0; 5] }
+        let head = Progress { body: usize::MAX, ..Progress::default() };
+        Self { head, head_came: 0, status: None, last: [0; 5], is_ahead: false, began: None }
     }
 }
 
 impl Back {
     fn came(&mut self, bytes: &[u8]) {
-        self.head.took(bytes);
         push_last(&mut self.last, bytes);
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            let taken = if self.head.left.is_some() { rest.len() } else { self.head_bytes(rest) };
+            self.head.took(&rest[..taken]);
+            rest = &rest[taken..];
+            if self.head.left.is_some() && self.status == Some(b'1') {
+                // An interim answer: the final one begins behind it.
+                self.head = Progress { body: usize::MAX, any: true, ..Progress::default() };
+                (self.head_came, self.status) = (0, None);
+            }
+        }
+    }
+
+    /// How many of these bytes belong to the present head.
+    fn head_bytes(&mut self, bytes: &[u8]) -> usize {
+        if self.status.is_none() {
+            self.status = STATUS_AT.checked_sub(self.head_came).and_then(|at| bytes.get(at)).copied();
+        }
+        let mut tail = self.head.tail;
+        let end = bytes.iter().position(|byte| {
+            tail = [tail[1], tail[2], tail[3], *byte];
+            &tail == b"\r\n\r\n"
+        });
+        let count = end.map_or(bytes.len(), |end| end + 1);
+        self.head_came += count;
+        count
     }
 }
 
@@ -120,6 +156,17 @@
     Answering,
 }
 
+/// What stands to be read on a connection of which nothing is expected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pending {
+    /// Nothing, and the other side has not closed.
+    Nothing,
+    /// Bytes.
+    Bytes,
+    /// The other side has closed, or the connection is broken.
+    End,
+}
+
 /// A watched socket.
 pub struct Sock {
     stream: TcpStream,
@@ -228,6 +275,16 @@
         self.back.borrow().head.any
     }
 
+    /// When the first byte came back.
+    pub fn heard_at(&self) -> Option<Instant> {
+        self.back.borrow().began
+    }
+
+    /// Did what came back begin to come before the kernel had taken the message's last byte?
+    pub fn heard_ahead(&self) -> bool {
+        self.back.borrow().is_ahead
+    }
+
     /// Has the kernel taken the message's last byte?
     pub fn whole(&self) -> bool {
         self.out.borrow().whole()
@@ -321,12 +378,36 @@
         });
     }
 
-    /// Nothing to read, and not closed by the other side. Asks the kernel, as what the runtime knows may be
-    /// a turn of its loop old.
+    /// Nothing to read, and not closed by the other side.
     pub fn quiet(&self) -> bool {
+        self.pending() == Pending::Nothing
+    }
+
+    /// What stands to be read. Asks the kernel, as what the runtime knows may be a turn of its loop old.
+    pub fn pending(&self) -> Pending {
         let mut byte = [MaybeUninit::uninit(); 1];
-        let peeked = SockRef::from(&self.stream).peek(&mut byte);
-        matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        loop {
+            match SockRef::from(&self.stream).peek(&mut byte) {
+                Ok(0) => return Pending::End,
+                Ok(_) => return Pending::Bytes,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Pending::Nothing,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return Pending::End,
+            }
+        }
+    }
+
+    /// Waits until something stands to be read, or the other side has closed.
+    pub async fn disturbed(&self) -> Pending {
+        let mut byte = [0];
+        loop {
+            match self.stream.peek(&mut byte).await {
+                Ok(0) => return Pending::End,
+                Ok(_) => return Pending::Bytes,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return Pending::End,
+            }
+        }
     }
 
     /// An answer is owed from now on, or not any more.
@@ -436,6 +517,11 @@
     }
 
     fn read(&self, came: &[u8]) {
+        if !came.is_empty() && !self.heard_any() {
+            let is_ahead = !self.whole();
+            let mut back = self.back.borrow_mut();
+            (back.is_ahead, back.began) = (is_ahead, Some(Instant::now()));
+        }
         self.back.borrow_mut().came(came);
         if came.is_empty() || !self.serves.get() {
             return;
