Connections to servers are watched, rest where answers may be another's, and judge what they prove

Callers saw answers of other requests, unsafe and keyed requests run twice, and refusals of what had run. An unasked answer therefore passed for 200 or for 'turned away, never ran', the connection went back while its server still worked, and each later request on it had the answer of the one before.

The log, the trace and two figures tell of each.

attempts_on_dead_connections_do_not_keep_a_server_full sent its other request before the eight had been written, as these rest now, so nothing that was sent later had been answered; it waits until all are out.

--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -1,6 +1,7 @@
 //! The owner of the core: it moves the core's outputs to fronts, backends and discovery, and their reports back. It
 //! knows none of them by name; see [`Outside`].
 
+mod answers;
 mod servers;
 mod settings;
 
@@ -20,6 +21,7 @@
 use tokio::sync::Notify;
 
 use crate::call::{Call, Reply};
+use answers::LineBudget;
 use servers::LastHeard;
 pub use settings::{Overlay, SettingsChange};
 
@@ -152,6 +154,8 @@
     /// Since when the list has not been followed, as far as the log says.
     list_lost: Cell<Option<Millis>>,
     counts: Cell<Counts>,
+    /// How much has been logged of answers out of turn.
+    answer_lines: LineBudget,
     outside: OnceCell<Rc<dyn Outside>>,
     gate: OnceCell<Rc<dyn Gate>>,
     /// What lays changes of the settings over a file's.
@@ -208,6 +212,7 @@
             list_heard: LastHeard::default(),
             list_lost: Cell::default(),
             counts: Cell::default(),
+            answer_lines: LineBudget::default(),
             outside: OnceCell::new(),
             gate: OnceCell::new(),
             overlay: OnceCell::new(),
@@ -357,16 +362,19 @@
         if !trace.is_on() {
             return;
         }
-        let name = |server: ServerId| {
-            let servers = self.servers.borrow();
-            servers.name(server).map_or_else(|| format!("{:016x}", server.0), str::to_string)
-        };
+        let name = |server: ServerId| self.server_name(server);
         // A step of the wall clock must not tear a timeline apart.
         let at = self.clock.unix_ms();
         let record = Record { at, doing: doing(&name) };
         log::line(if trace == Trace::Json { record.json() } else { record.to_string() });
     }
 
+    /// What the list calls a server.
+    fn server_name(&self, server: ServerId) -> String {
+        let servers = self.servers.borrow();
+        servers.name(server).map_or_else(|| format!("{:016x}", server.0), str::to_string)
+    }
+
     fn trace_end(&self, attempt: AttemptId, outcome: Outcome) {
         if !self.config.operator.trace.is_on() {
             return;
--- a/crates/node/tests/service.rs
+++ b/crates/node/tests/service.rs
@@ -353,6 +353,8 @@
     for (n, client) in clients.iter_mut().enumerate() {
         client.send(&request("slip", &format!("dead{n}"), 9_000));
     }
+    // A connection rests before it is used again; what is sent before that tells nothing of what is sent then.
+    until("all are out", || server.seen().len() == 16);
     let (mut other, mut count) = (Client::to(&node), 0);
     until("others are served", || {
         count += 1;
--- a/crates/operation/src/figures.rs
+++ b/crates/operation/src/figures.rs
@@ -67,6 +67,10 @@
     pub stale_sends: u64,
     /// Attempts begun at servers that had said, or the list, that they take nothing new.
     pub refused_sends: u64,
+    /// Bytes that servers sent out of turn, by their occasions.
+    pub out_of_turn: u64,
+    /// Answers that were not taken for what they said.
+    pub doubted_answers: u64,
     /// Configurations taken at SIGHUP.
     pub conf_loaded: u64,
     /// Configurations turned down at SIGHUP.
@@ -152,6 +156,18 @@
                 self.refused_sends,
                 "Attempts begun at servers that take nothing new.",
             ),
+            (
+                "answers_out_of_turn",
+                "counter",
+                self.out_of_turn,
+                "Times that a server sent bytes that nobody asked for.",
+            ),
+            (
+                "answers_doubted",
+                "counter",
+                self.doubted_answers,
+                "Answers that were not taken for what they said.",
+            ),
             ("conf_loaded", "counter", self.conf_loaded, "Configurations taken at SIGHUP."),
             ("conf_invalid", "counter", self.conf_invalid, "Configurations turned down at SIGHUP."),
         ];
--- a/crates/trace/src/record.rs
+++ b/crates/trace/src/record.rs
@@ -115,6 +115,32 @@
         /// How long it took, in milliseconds.
         took: f64,
     },
+    /// Bytes came from a server that nobody asked for.
+    OutOfTurn {
+        /// The server.
+        server: String,
+        /// What its connection was in the middle of, in one word.
+        position: String,
+        /// How long after the last answer, or after the connection came up, in milliseconds.
+        after: f64,
+        /// How old the connection was, in milliseconds.
+        age: f64,
+        /// How many answers it had had.
+        answers: u32,
+    },
+    /// An answer was not taken for what it said.
+    Doubted {
+        /// The request.
+        request: u64,
+        /// The attempt's number.
+        attempt: usize,
+        /// Where it was.
+        server: String,
+        /// What is proved of the attempt, in one word.
+        proof: String,
+        /// Why, in one word.
+        why: String,
+    },
     /// Says why the answer that follows is a refusal or a failure.
     Explain {
         /// The request.
@@ -159,6 +185,11 @@
     words[usize::from(!yes)]
 }
 
+/// A number that can be reckoned with.
+fn finite(said: &str) -> Option<f64> {
+    said.parse().ok().filter(|number: &f64| number.is_finite())
+}
+
 fn is_yes(said: &str, words: [&'static str; 2]) -> Option<bool> {
     words.iter().position(|word| *word == said).map(|place| place == 0)
 }
@@ -191,6 +222,12 @@
             Doing::End { request, attempt, server, outcome, took } => {
                 write!(f, "end {request} {attempt} {server} {outcome} {took:.1}")
             }
+            Doing::OutOfTurn { server, position, after, age, answers } => {
+                write!(f, "out-of-turn {server} {position} {after:.1} {age:.1} {answers}")
+            }
+            Doing::Doubted { request, attempt, server, proof, why } => {
+                write!(f, "doubted {request} {attempt} {server} {proof} {why}")
+            }
             Doing::Explain { request, reason } => write!(f, "explain {request} {reason}"),
             Doing::Close { client, reason } => write!(f, "close {client} {reason}"),
             Doing::Answer { request, answer } => {
@@ -246,6 +283,20 @@
                 Doing::Reload { taken: is_yes(next()?, RELOAD_TAKEN)?, moved: is_yes(next()?, RELOAD_MOVED)? }
             }
             "id" => Doing::Id { request: next()?.parse().ok()?, id: next()?.into() },
+            "out-of-turn" => Doing::OutOfTurn {
+                server: next()?.into(),
+                position: next()?.into(),
+                after: finite(next()?)?,
+                age: finite(next()?)?,
+                answers: next()?.parse().ok()?,
+            },
+            "doubted" => Doing::Doubted {
+                request: next()?.parse().ok()?,
+                attempt: next()?.parse().ok()?,
+                server: next()?.into(),
+                proof: next()?.into(),
+                why: next()?.into(),
+            },
             "explain" => Doing::Explain { request: next()?.parse().ok()?, reason: next()?.into() },
             "close" => Doing::Close { client: next()?.into(), reason: next()?.into() },
             "connect" => Doing::Connect(next()?.into()),
--- a/crates/trace/src/tables.rs
+++ b/crates/trace/src/tables.rs
@@ -98,7 +98,9 @@
                     of_server.entry(server.clone()).or_default().1 += 1;
                 }
                 Doing::Probe(_) => second.probes += 1,
-                Doing::Asking { .. }
+                Doing::OutOfTurn { .. }
+                | Doing::Doubted { .. }
+                | Doing::Asking { .. }
                 | Doing::Answering
                 | Doing::WatchEnded { .. }
                 | Doing::Version(_)
