A keyed request is not repeated once servers have forgotten it, however late its connection comes up

Now the module is asked once more there (may_write), by both protocols. The new test of endings.rs fails with the question out: t0 and t2 at the first server, then again at the second, 700 ms later with 600 ms of memory.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -480,6 +480,11 @@
         self.balancer.accepts(server)
     }
 
+    /// May an attempt that was started still be written, also where it has waited for its connection?
+    pub fn may_write(&self, now: Millis, attempt: AttemptId) -> bool {
+        self.balancer.may_write(now, attempt.request, attempt.number)
+    }
+
     /// Entries that changed by another source than discovery: no answer to what was asked of that.
     pub fn list_news(&mut self, now: Millis, entries: Vec<Entry>) {
         self.feed(now, Event::ListNews(entries));
--- a/crates/node/src/backend/http1/mod.rs
+++ b/crates/node/src/backend/http1/mod.rs
@@ -174,6 +174,7 @@
     server: ServerId,
     end: Instant,
     message: &Message,
+    attempt: Option<AttemptId>,
     may_reuse: bool,
 ) -> Result<Got, Outcome> {
     let (hub, pool) = (&servers.hub, &servers.pool);
@@ -211,6 +212,7 @@
             Message::Call(_) => hub.accepts(server, place),
             Message::Probe | Message::Check => hub.place(server) == Some(place),
         };
+        let accepts = accepts && attempt.is_none_or(|attempt| hub.may_write(attempt));
         return if accepts { Ok(Got { link, reused }) } else { Err(Outcome::NotSent) };
     }
 }
@@ -231,10 +233,11 @@
     let is_call = matches!(message, Message::Call(_));
     let mut may_reuse = !matches!(message, Message::Probe) && message.rest().is_none();
     loop {
-        let Got { mut link, reused } = match connection(servers, server, end, message, may_reuse).await {
-            Ok(got) => got,
-            Err(outcome) => return Ended::Without(outcome),
-        };
+        let Got { mut link, reused } =
+            match connection(servers, server, end, message, attempt, may_reuse).await {
+                Ok(got) => got,
+                Err(outcome) => return Ended::Without(outcome),
+            };
         may_reuse = false;
         let sent = Instant::now();
         if !link.exchange.begin() {
--- a/crates/node/src/backend/msgpack.rs
+++ b/crates/node/src/backend/msgpack.rs
@@ -394,10 +394,23 @@
         if conn.state.borrow().machine.open() == 0 && !sock.quiet() {
             return;
         }
+        for attempt in self.hand_over(conn) {
+            self.forget_attempt(conn, attempt);
+            self.ended(attempt, Outcome::NotSent);
+        }
+    }
+
+    /// Hands over calls that wait; gives those that must not be written any more.
+    fn hand_over(&self, conn: &Conn) -> Vec<AttemptId> {
         let mut state = conn.state.borrow_mut();
         let state = &mut *state;
+        let mut refused = Vec::new();
         while state.machine.unwritten() < AHEAD && state.machine.room() > 0 {
-            let Some(Waiting { attempt, end, call }) = state.waiting.pop_front() else { return };
+            let Some(Waiting { attempt, end, call }) = state.waiting.pop_front() else { break };
+            if !self.hub.may_write(attempt) {
+                refused.push(attempt);
+                continue;
+            }
             let now = Instant::now();
             let left = end.saturating_duration_since(now).as_millis() as u64;
             if state.machine.call(attempt, &call.message(left)).is_ok() {
@@ -405,6 +418,7 @@
                 state.used = now;
             }
         }
+        refused
     }
 
     fn forget_attempt(&self, conn: &Conn, attempt: AttemptId) {
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -580,4 +580,9 @@
     pub fn accepts(&self, server: ServerId, place: Place) -> bool {
         self.place(server) == Some(place) && self.core.borrow().accepts(server)
     }
+
+    /// May an attempt that was started still be written? Its request may be repeated for so long alone as servers remember it.
+    pub fn may_write(&self, attempt: AttemptId) -> bool {
+        self.core.borrow().may_write(self.clock.now(), attempt)
+    }
 }
--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -507,3 +507,34 @@
         assert!(moved.elapsed() < Duration::from_secs(4), "{mode}: after {:?}", moved.elapsed());
     }
 }
+
+/// Guards against a keyed request that is repeated after its servers have forgotten it, as its connection came up late.
+#[test]
+fn a_repeat_that_waits_for_its_connection_is_not_written_once_its_key_is_forgotten() {
+    let first = Peer::new(|message| match message.path() {
+        "/health" => Say::This(answer(200, "", "")),
+        _ => Say::Last(Vec::new()),
+    });
+    let shut = Shut::new();
+    let hosts = [host("s0", first.address, "active", 1), host("s1", shut.address, "active", 1)];
+    let registry = Registry::new(&hosts);
+    let mut config = config(registry.address);
+    config["settings"]["Limits"]["ConnectTimeout"] = json!(20_000.0);
+    config["settings"]["Classes"][1]["MemorySpan"] = json!(600.0);
+    let node = Node::ready(&config);
+    let mut clients: Vec<Client> = (0..4).map(|_| Client::to(&node)).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.send(&request("pay", &format!("t{number}"), 15_000).replace("k1", &format!("k{number}")));
+    }
+    // One that began at the server that lets nobody in yet may be written there.
+    until("a repeat waits", || !first.seen().is_empty() && shut.waiting() > 0);
+    let forgotten = Instant::now() + Duration::from_millis(700);
+    std::thread::sleep(forgotten.saturating_duration_since(Instant::now()));
+    let ran: Vec<String> =
+        first.seen().iter().map(|m| m.header("x-txn").unwrap_or("?").to_string()).collect();
+    let late = shut.open(|_| Say::This(answer(200, "", "late")));
+    clients.iter_mut().for_each(|client| drop(client.hear()));
+    let again: Vec<String> =
+        late.seen().iter().map(|m| m.header("x-txn").unwrap_or("?").to_string()).collect();
+    assert!(ran.iter().all(|id| !again.contains(id)), "at the first {ran:?}, then {again:?}");
+}
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -746,6 +746,16 @@
         may(to) && !(again && self.rotated().any(|s| Some(s.entry.server) != last && may(s)))
     }
 
+    /// May an attempt that was decided on still be written now? Servers may have forgotten the attempts before it while it waited for
+    /// its connection.
+    pub fn may_write(&self, now: Millis, id: RequestId, attempt: usize) -> bool {
+        let Some(request) = self.requests.get(&id) else { return true };
+        let Effect::Keyed { memory, .. } = request.effect else { return true };
+        let mut ran =
+            request.attempts.iter().take(attempt).filter(|a| !a.outcome.is_some_and(Outcome::never_ran));
+        ran.all(|a| now - a.sent < memory)
+    }
+
     fn send(&mut self, id: RequestId, to: Cleared, actions: &mut Vec<Action>) {
         self.count_send(to);
         let to = to.server();
