--- a/crates/node/tests/faults_together.rs
+++ b/crates/node/tests/faults_together.rs
@@ -301,13 +301,7 @@
         return false;
     }
     let answer = client.hear();
-    let now = Instant::now();
-    match &answer {
-        Some(answer) => {
-            record(End::Answered { status: answer.status(), at: now, is_own: answer.body == id.as_bytes() })
-        }
-        None => record(End::Closed { at: now, node_stops: stops() }),
-    }
+    record(End::by(answer.as_ref(), &id, stops()));
     answer.is_some_and(|answer| answer.header("connection") != Some("close"))
 }
 
--- a/crates/node/tests/peers/record.rs
+++ b/crates/node/tests/peers/record.rs
@@ -6,6 +6,8 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use super::Message;
+
 /// How much later than its time a request may have its answer before it counts as lost.
 const LATE: Duration = Duration::from_millis(500);
 /// By how much the time that a server is told may exceed what its client has left.
@@ -30,6 +32,19 @@
     Left { at: Instant },
 }
 
+impl End {
+    /// How a request ended just now: by this answer, or with its connection.
+    pub fn by(answer: Option<&Message>, id: &str, node_stops: bool) -> Self {
+        let at = Instant::now();
+        match answer {
+            Some(answer) => {
+                Self::Answered { status: answer.status(), at, is_own: answer.body == id.as_bytes() }
+            }
+            None => Self::Closed { at, node_stops },
+        }
+    }
+}
+
 /// A request that a client sent.
 #[derive(Clone, Debug)]
 pub struct Asked {
--- a/crates/node/tests/restarts.rs
+++ b/crates/node/tests/restarts.rs
@@ -133,13 +133,7 @@
             let (at, remaining) = (Instant::now(), dice.between(600, 2_500));
             client.send(&request("look", &id, remaining.as_millis() as u64));
             let answer = client.hear();
-            let now = Instant::now();
-            let end = match &answer {
-                Some(answer) => {
-                    End::Answered { status: answer.status(), at: now, is_own: answer.body == id.as_bytes() }
-                }
-                None => End::Closed { at: now, node_stops: false },
-            };
+            let end = End::by(answer.as_ref(), &id, false);
             self.record.asked(Asked { id, class: "look", at, remaining, node: node.address, end });
             if answer.is_none_or(|answer| answer.header("connection") == Some("close")) {
                 client = Client::to(node);
--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -15,6 +15,7 @@
 use peers::list_service::ListService;
 use peers::many::{Ending, Lateness, ManyServers};
 use peers::record::*;
+use peers::strays::{Stray, Strays};
 use peers::*;
 use serde_json::{json, Value};
 
@@ -151,7 +152,7 @@
         let taken = process.node.log_of(|line| line.contains(" id ") && line.ends_with(&ends));
         let number = taken.first().and_then(|line| line.rsplit(' ').nth(1)).unwrap_or("none").to_string();
         let about = |line: &str| {
-            let of_request = [" ask ", " send ", " end ", " answer ", " id "];
+            let of_request = [" ask ", " send ", " end ", " answer ", " id ", " doubted "];
             (of_request.iter().any(|word| line.contains(word)) && line.split(' ').nth(3) == Some(&number))
                 || [" call", " watch-ended", " version", " reload", "stops"]
                     .iter()
@@ -210,13 +211,7 @@
         return false;
     }
     let answer = client.hear();
-    let now = Instant::now();
-    match &answer {
-        Some(answer) => {
-            record(End::Answered { status: answer.status(), at: now, is_own: answer.body == id.as_bytes() })
-        }
-        None => record(End::Closed { at: now, node_stops: stops() }),
-    }
+    record(End::by(answer.as_ref(), &id, stops()));
     answer.is_some_and(|answer| answer.header("connection") != Some("close"))
 }
 
@@ -272,6 +267,22 @@
     faults
 }
 
+/// What servers send out of turn in a run, from its start on; nothing in every other run.
+fn drawn_strays(dice: &mut Dice) -> Strays {
+    if dice.one_in(2) {
+        return Strays::default();
+    }
+    let late = dice.between(5, 25).as_millis() as u64;
+    Strays(vec![
+        Stray::TurnsAway { share: 10 },
+        Stray::OnNewConnection { share: dice.below(300), after: 0..10 },
+        Stray::BehindAnswer { share: dice.below(60), after: 0..late },
+        Stray::Repeated { share: 5 },
+        Stray::EndsAfterAnswer { share: 10 },
+        Stray::InPieces { share: 20 },
+    ])
+}
+
 /// Plays the faults of a run.
 fn trouble(world: &World, faults: &[(Duration, Fault)], dice: &mut Dice) {
     let began = Instant::now();
@@ -348,7 +359,9 @@
     let servers = SERVERS[(seed % SERVERS.len() as u64) as usize];
     let fleet = FLEETS[dice.below(FLEETS.len() as u64) as usize];
     let faults = drawn(&mut dice, nodes);
+    let strays = drawn_strays(&mut dice);
     let world = World::new(servers, fleet, nodes);
+    world.servers.send_strays(strays.clone());
     let all: Vec<Arc<Process>> = (0..nodes).map(|number| world.start(number, dice.next())).collect();
     all.iter().for_each(|process| process.node.wait_ready());
     *world.processes.write().expect("no panic") = all;
@@ -367,7 +380,7 @@
     println!("{what}: {served} of {asked} served, driver late by {:.0?}", late.longest());
     let breaches = world.record.breaches(|node, id| world.has_taken(node, id));
     let told = |breach: &Breach| {
-        format!("{what}: {breach}\n  {}\n{faults:?}", world.timeline(breach.node, &breach.id))
+        format!("{what}: {breach}\n  {}\n{faults:?}\n{strays:?}", world.timeline(breach.node, &breach.id))
     };
     let mut broken: Vec<String> = breaches.iter().map(told).collect();
     if (served as f64) < SERVED * asked as f64 {
--- a/crates/node/tests/thousands.rs
+++ b/crates/node/tests/thousands.rs
@@ -159,13 +159,7 @@
         let at = Instant::now();
         client.send(&request(class, &id, remaining.as_millis() as u64).replace("k1", &id));
         let answer = client.hear();
-        let now = Instant::now();
-        let end = match &answer {
-            Some(answer) => {
-                End::Answered { status: answer.status(), at: now, is_own: answer.body == id.as_bytes() }
-            }
-            None => End::Closed { at: now, node_stops: false },
-        };
+        let end = End::by(answer.as_ref(), &id, false);
         world.record.asked(Asked { id, class, at, remaining, node: node.address, end });
         if answer.is_none_or(|answer| answer.header("connection") == Some("close")) {
             client = Client::to(node);
--- a/crates/node/tests/whose_answer.rs
+++ b/crates/node/tests/whose_answer.rs
@@ -93,13 +93,7 @@
             let at = Instant::now();
             client.send(&words);
             let answer = client.hear();
-            let now = Instant::now();
-            let end = match &answer {
-                Some(answer) => {
-                    End::Answered { status: answer.status(), at: now, is_own: answer.body == id.as_bytes() }
-                }
-                None => End::Closed { at: now, node_stops: false },
-            };
+            let end = End::by(answer.as_ref(), &id, false);
             self.record.asked(Asked { id, class, at, remaining, node: node.address, end });
             if answer.is_none_or(|answer| answer.header("connection") == Some("close")) {
                 client = Client::to(node);
