The watch of an idle connection does not hold its descriptor

Found by reading: the task that watches an idle connection kept its socket until the task itself was dropped, a turn of the loop after the connection was evicted, so a node at its limit could hold a descriptor more than it counts. No test shows the descriptor.

--- a/crates/node/src/backend/http1/pool.rs
+++ b/crates/node/src/backend/http1/pool.rs
@@ -2,7 +2,9 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::poll_fn;
 use std::rc::{Rc, Weak};
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use glenwood_exchange::{Connection as Exchange, Doubt, Need, OutOfTurn};
@@ -212,7 +214,7 @@
             if from <= Instant::now() {
                 return Rested::Quiet;
             }
-            let _ = timeout_at(from.into(), link.sock.disturbed()).await;
+            let _ = timeout_at(from.into(), poll_fn(|cx| link.sock.poll_disturbed(cx))).await;
         }
     }
 
@@ -307,7 +309,7 @@
                 None => return,
             }
         }
-        let (pool, number, sock) = (Rc::downgrade(self), link.number, link.sock.clone());
+        let (pool, number, sock) = (Rc::downgrade(self), link.number, Rc::downgrade(&link.sock));
         let watch = tokio::task::spawn_local(watch(pool, server, number, sock)).abort_handle();
         self.idle.borrow_mut().entry(server).or_default().push(Resting { link, _watch: Watch(watch) });
     }
@@ -353,9 +355,13 @@
     }
 }
 
-/// Waits for what comes on an idle connection.
-async fn watch(pool: Weak<Pool>, server: ServerId, number: u64, sock: Rc<Sock>) {
-    let pending = sock.disturbed().await;
+/// Waits for what comes on an idle connection. It does not keep the connection open: its descriptor is free as soon as it is dropped.
+async fn watch(pool: Weak<Pool>, server: ServerId, number: u64, sock: Weak<Sock>) {
+    let disturbed = poll_fn(|cx| match sock.upgrade() {
+        Some(sock) => sock.poll_disturbed(cx),
+        None => Poll::Ready(Pending::End),
+    });
+    let pending = disturbed.await;
     if let Some(pool) = pool.upgrade() {
         pool.disturbed(server, number, pending);
     }
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -11,7 +11,7 @@
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
-use tokio::io::Interest;
+use tokio::io::{Interest, ReadBuf};
 use tokio::net::TcpStream;
 
 use crate::blocks::Uptake;
@@ -397,15 +397,16 @@
         }
     }
 
-    /// Waits until something stands to be read, or the other side has closed.
-    pub async fn disturbed(&self) -> Pending {
-        let mut byte = [0];
+    /// Ready once something stands to be read, or the other side has closed. Must not be polled beside hyper's reading.
+    pub fn poll_disturbed(&self, cx: &mut Context<'_>) -> Poll<Pending> {
+        let mut byte = [MaybeUninit::uninit(); 1];
         loop {
-            match self.stream.peek(&mut byte).await {
-                Ok(0) => return Pending::End,
-                Ok(_) => return Pending::Bytes,
+            let peeked = ready!(self.stream.poll_peek(cx, &mut ReadBuf::uninit(&mut byte)));
+            match peeked {
+                Ok(0) => return Poll::Ready(Pending::End),
+                Ok(_) => return Poll::Ready(Pending::Bytes),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return Pending::End,
+                Err(_) => return Poll::Ready(Pending::End),
             }
         }
     }
