--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -746,8 +746,8 @@
         may(to) && !(again && self.rotated().any(|s| Some(s.entry.server) != last && may(s)))
     }
 
-    /// May an attempt that was decided on still be written now? Servers may have forgotten the attempts before it
-    /// while it waited for its connection.
+    /// May an attempt that was decided on still be written now? Servers may have forgotten the attempts
+    /// before it while it waited for its connection.
     pub fn may_write(&self, now: Millis, id: RequestId, attempt: usize) -> bool {
         let Some(request) = self.requests.get(&id) else { return true };
         let Effect::Keyed { memory, .. } = request.effect else { return true };
