Review: the late second answer also has unsafe requests carried out twice

Reason: a shifted connection shows the outcome of the request before, also where that was turned away.

Change: case 1 of the review has `issue-slip` beside `next-question`, and a server that turns one request in fifty away; it checks that no slip is carried out twice.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,9 @@
 """A second answer that comes some milliseconds late: is it given to the client of the next request?
 
 One node and one server in another data centre; the way between them takes 10 ms. A server sends a second copy of an
-answer a few milliseconds after the first, and only if nothing else waits on that connection at its end.
+answer a few milliseconds after the first, and only if nothing else waits on that connection at its end. With and without
+that, it turns away one request in fifty, as a server does whose queue is full. Checked is that each 200 has the body that was
+made for its request, and that no `issue-slip` is carried out twice.
 """
 
 import asyncio
@@ -15,6 +17,8 @@
 ONE_WAY = 0.010  # The brief: 7 to 13 ms one way between data centres.
 SERVERS, SLOTS, CLIENTS, SECONDS, QUIET = 1, 16, 12, 45.0, 13.0
 LATE = (0.004, 0.010)
+# Of the requests: `next-question` to `issue-slip` as 44 to 12.
+SLIPS, TURNED_AWAY = 12 / 56, 0.02
 
 
 class Delay:
@@ -74,7 +78,7 @@
 
 
 async def case(record, processes, folder):
-    breaks, served, refused, second = [], [0], [0], [0]
+    ran, breaks, served, refused, second = {}, [], [0], [0], [0]
     last_second = [now()]
     waiting, slots = {}, {f"s{n}": asyncio.Semaphore(SLOTS) for n in range(SERVERS)}
 
@@ -83,7 +87,12 @@
         async with slots[server.name]:
             await asyncio.sleep(random.uniform(0.025, 0.045))
         waiting[writer] -= 1
-        answer = response(200, b"for " + request.txn.encode())
+        if random.random() < TURNED_AWAY:
+            answer = response(503, headers=[("X-Turned-Away", "1")])
+            record.line(f"server {server.name} turns {request.txn} away")
+        else:
+            ran.setdefault(request.txn, []).append(f"{request.at:.4f}")
+            answer = response(200, b"for " + request.txn.encode())
         writer.write(answer)
         if TROUBLE and now() - last_second[0] >= QUIET:
             last_second[0] = now()
@@ -117,8 +126,12 @@
         while now() < end:
             n += 1
             txn = f"c{number}-{n}"
-            await client.send("GET", f"/next-question/{number}/{n}", txn, 1200)
-            answer = await client.answer(1.8)
+            if random.random() < SLIPS:
+                txn += "-slip"
+                await client.send("POST", f"/issue-slip/{number}/{n}", txn, 6000, body=b"slip")
+            else:
+                await client.send("GET", f"/next-question/{number}/{n}", txn, 1200)
+            answer = await client.answer(6.6)
             if answer is not None and answer[0] == 200:
                 served[0] += 1
                 if answer[1] != b"for " + txn.encode():
@@ -132,6 +145,11 @@
                 await asyncio.sleep(0.06)
 
     await asyncio.gather(*(one(number) for number in range(CLIENTS)))
+    foreign = len(breaks)
+    for txn, times in ran.items():
+        if txn.endswith("-slip") and len(times) > 1:
+            breaks.append(f"{txn} was carried out {len(times)} times, at {', '.join(times)}")
+    record.line(f"{foreign} foreign answers, {len(breaks) - foreign} slips carried out more than once")
     record.line(f"{served[0]} requests were served, {refused[0]} refused; {second[0]} answers were sent a second time")
     if served[0] < 1000:
         raise CannotRun("too few requests were served")
