--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,3 @@
 #!/usr/bin/env bash
-cd "$(dirname "$0")" && PYTHONDONTWRITEBYTECODE=1 exec python3 case.py
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: the same without the disruption.
+cd "$(dirname "$0")" && TROUBLE="${TROUBLE:-1}" PYTHONDONTWRITEBYTECODE=1 exec python3 case.py
