A response that begins sooner than its server can answer is not believed at once

Reason: where all connections to a server are in use, one is written to again at once, and a second copy of the answer before, some milliseconds late, was taken for the answer to the next request.

Cause: `Connection::judge_response` believed any answer behind the last byte of its request; `required_idle` is zero where no stray was seen.

Change: `ResponseTimes` keeps, for each server and kind of response, the shortest time from the last byte of the request to the first of the response. What begins below three quarters of it is held until the true answer would have come (RFC 6298's bound) or half of the time left is over. Another response within that time shows that the first was foreign: the attempt may have run, the connection is closed, the server distrusted as after any stray. Nothing within it: the server has become quicker, the answer counts, and the bound comes down. New: log line "answer early", counter node_answers_early. The time of a write is now taken before the call, so that a delay of the node never makes a true answer look early.

Why it works: no true answer is quicker than the path, so the first stray is met as well, on connections of any age; where no stray comes nothing waits. A wrong suspicion costs time, never an unsafe request.

All sequences of 8 events on a connection are explored with the contradicted answer too.

--- a/crates/exchange/src/connection.rs
+++ b/crates/exchange/src/connection.rs
@@ -36,6 +36,9 @@
     pub began: Instant,
     /// The response itself names another request as the one it answers.
     pub names_other_request: bool,
+    /// The response began implausibly soon after its request, and then another response or the end of the
+    /// connection followed.
+    pub is_contradicted: bool,
 }
 
 /// The reason for a [`Proof`].
@@ -50,6 +53,8 @@
     TooSoon,
     /// The response names another request.
     NamesAnother,
+    /// The response began sooner than its server can answer, and another one followed it.
+    Contradicted,
     /// The connection was no longer usable.
     Poisoned,
     /// The connection ended, or the attempt was given up, before the request was written completely.
@@ -65,6 +70,7 @@
             Self::AheadOfRequest => "ahead-of-request",
             Self::TooSoon => "too-soon",
             Self::NamesAnother => "names-another",
+            Self::Contradicted => "contradicted",
             Self::Poisoned => "poisoned",
             Self::EndedUnwritten => "ended-unwritten",
             Self::EndedWritten => "ended-written",
@@ -219,6 +225,14 @@
         self.unsolicited_bytes(ConnectionPhase::BehindAnswer, now)
     }
 
+    /// Handles the discovery that a response that began at `began` belongs to an earlier request: to the
+    /// current one it was unsolicited.
+    pub fn contradicted(&mut self, began: Instant) -> UnsolicitedBytes {
+        self.state = State::Poisoned;
+        let phase = if self.answers == 0 { ConnectionPhase::New } else { ConnectionPhase::Idle };
+        self.unsolicited_bytes(phase, began)
+    }
+
     fn unsolicited_bytes(&self, phase: ConnectionPhase, now: Instant) -> UnsolicitedBytes {
         let since = |then: Instant| now.saturating_duration_since(then);
         UnsolicitedBytes {
@@ -248,6 +262,9 @@
         if answer.names_other_request {
             return Verdict { proof: Proof::MayHaveRun, reason: ProofReason::NamesAnother };
         }
+        if answer.is_contradicted {
+            return Verdict { proof: Proof::MayHaveRun, reason: ProofReason::Contradicted };
+        }
         if answer.began < self.idle_since + self.min_idle(required_idle) {
             return Verdict { proof: Proof::MayHaveRun, reason: ProofReason::TooSoon };
         }
--- /dev/null
+++ b/crates/exchange/src/response_time.rs
@@ -0,0 +1,181 @@
+//! Response times of servers, and what they say about a response that begins unusually soon.
+//!
+//! A response can't arrive sooner than the path to the server and back takes. One that begins well before the
+//! shortest time in which the server has answered so far was most likely not caused by the request written
+//! last, but is a late response to an earlier one.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::time::{Duration, Instant};
+
+use crate::connection::ResponseMeaning;
+
+/// For how long an observed response time counts: between one and two of these spans.
+const OBSERVATION_SPAN: Duration = Duration::from_secs(60);
+/// Number of responses from which their shortest time is a bound for further ones.
+const MIN_RESPONSES: u32 = 8;
+/// Share of the shortest observed time below which a response is implausibly early.
+const PLAUSIBLE_SHARE: f64 = 0.75;
+/// Weights of a new sample in the smoothed response time and in its variation, and how many variations a
+/// response may take longer than usual (RFC 6298).
+const SMOOTHING: f64 = 1.0 / 8.0;
+const VARIATION_SMOOTHING: f64 = 1.0 / 4.0;
+const MAX_VARIATIONS: f64 = 4.0;
+
+/// The kinds of responses whose times are told apart, as a server takes different times for them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResponseKind {
+    /// The response to a health check.
+    HealthCheck,
+    /// The request was carried out.
+    Served,
+    /// The request was refused, or is invalid.
+    Unprocessed,
+    /// Any other response.
+    Failed,
+}
+
+/// Number of kinds of responses.
+const KINDS: usize = 4;
+
+impl From<ResponseMeaning> for ResponseKind {
+    fn from(meaning: ResponseMeaning) -> Self {
+        match meaning {
+            ResponseMeaning::Served => Self::Served,
+            ResponseMeaning::RefusedUnprocessed | ResponseMeaning::Rejected => Self::Unprocessed,
+            ResponseMeaning::Failed => Self::Failed,
+        }
+    }
+}
+
+/// The shortest of several durations.
+#[derive(Clone, Copy, Debug, Default)]
+struct Minimum {
+    shortest: Option<Duration>,
+    count: u32,
+}
+
+impl Minimum {
+    fn add(&mut self, sample: Duration) {
+        self.shortest = Some(self.shortest.map_or(sample, |shortest| shortest.min(sample)));
+        self.count = self.count.saturating_add(1);
+    }
+
+    fn merge(self, other: Self) -> Self {
+        Self {
+            shortest: self.shortest.into_iter().chain(other.shortest).min(),
+            count: self.count.saturating_add(other.count),
+        }
+    }
+
+    /// The shortest duration, if enough were observed to take it for a bound.
+    fn bound(self) -> Option<Duration> {
+        self.shortest.filter(|_| self.count >= MIN_RESPONSES)
+    }
+}
+
+/// The usual duration of responses and how much it varies.
+#[derive(Clone, Copy, Debug)]
+struct SmoothedTime {
+    mean: Duration,
+    variation: Duration,
+}
+
+impl SmoothedTime {
+    fn first(sample: Duration) -> Self {
+        Self { mean: sample, variation: sample / 2 }
+    }
+
+    fn add(&mut self, sample: Duration) {
+        let deviation = self.mean.abs_diff(sample);
+        self.variation =
+            self.variation.mul_f64(1.0 - VARIATION_SMOOTHING) + deviation.mul_f64(VARIATION_SMOOTHING);
+        self.mean = self.mean.mul_f64(1.0 - SMOOTHING) + sample.mul_f64(SMOOTHING);
+    }
+
+    /// The time within which nearly all responses arrive.
+    fn upper_bound(self) -> Duration {
+        self.mean + self.variation.mul_f64(MAX_VARIATIONS)
+    }
+}
+
+/// The response times of one server.
+#[derive(Clone, Copy, Debug)]
+struct ServerTimes {
+    /// When the current span of observations began.
+    span_start: Instant,
+    previous: [Minimum; KINDS],
+    current: [Minimum; KINDS],
+    /// The usual time of requests that were carried out.
+    usual: Option<SmoothedTime>,
+}
+
+impl ServerTimes {
+    fn new(now: Instant) -> Self {
+        Self { span_start: now, previous: Default::default(), current: Default::default(), usual: None }
+    }
+
+    /// Begins a new span of observations if the current one is over.
+    fn advance(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.span_start);
+        if elapsed < OBSERVATION_SPAN {
+            return;
+        }
+        let last = std::mem::take(&mut self.current);
+        self.previous = if elapsed < 2 * OBSERVATION_SPAN { last } else { Default::default() };
+        self.span_start = now;
+    }
+
+    fn shortest(&self, kind: ResponseKind) -> Minimum {
+        self.current[kind as usize].merge(self.previous[kind as usize])
+    }
+
+    /// The shortest time of any response: an upper bound of what the path alone takes.
+    fn shortest_of_all(&self) -> Minimum {
+        let all = self.current.iter().chain(&self.previous);
+        all.fold(Minimum::default(), |shortest, minimum| shortest.merge(*minimum))
+    }
+}
+
+/// The response times of all servers. `K` identifies a server.
+#[derive(Clone, Debug)]
+pub struct ResponseTimes<K> {
+    servers: HashMap<K, ServerTimes>,
+}
+
+impl<K> Default for ResponseTimes<K> {
+    fn default() -> Self {
+        Self { servers: HashMap::new() }
+    }
+}
+
+impl<K: Copy + Eq + Hash> ResponseTimes<K> {
+    /// Records how long a response that was trusted took, from the last byte of its request to its own first
+    /// byte.
+    pub fn record(&mut self, now: Instant, server: K, kind: ResponseKind, elapsed: Duration) {
+        let times = self.servers.entry(server).or_insert_with(|| ServerTimes::new(now));
+        times.advance(now);
+        times.current[kind as usize].add(elapsed);
+        if kind != ResponseKind::Served {
+            return;
+        }
+        match &mut times.usual {
+            Some(usual) => usual.add(elapsed),
+            None => times.usual = Some(SmoothedTime::first(elapsed)),
+        }
+    }
+
+    /// If a response of this kind after `elapsed` is implausibly early, returns the time after its request
+    /// within which the true response would arrive.
+    pub fn true_response_within(&self, server: K, kind: ResponseKind, elapsed: Duration) -> Option<Duration> {
+        let times = self.servers.get(&server)?;
+        let shortest = times.shortest(kind).bound().or_else(|| times.shortest_of_all().bound())?;
+        let is_early = elapsed < shortest.mul_f64(PLAUSIBLE_SHARE);
+        times.usual.filter(|_| is_early).map(SmoothedTime::upper_bound)
+    }
+
+    /// Discards the times of a server, as another process has taken its place.
+    pub fn forget(&mut self, server: K) {
+        self.servers.remove(&server);
+    }
+}
--- a/crates/exchange/tests/explored.rs
+++ b/crates/exchange/tests/explored.rs
@@ -12,25 +12,37 @@
 const SHORT_PAUSE: Duration = Duration::from_millis(5);
 const LONG_PAUSE: Duration = Duration::from_millis(30);
 
+/// Why a response in its turn may belong to another request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ResponseDoubt {
+    NamesAnother,
+    Contradicted,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum EventKind {
     RequestBegins,
     WrittenCompletely,
     Bytes,
-    Answered { said: ResponseMeaning, names_another: bool },
+    Answered { said: ResponseMeaning, doubt: Option<ResponseDoubt> },
     BytesBehindAnswer,
     ConnectionEnds,
     ShortPause,
     LongPause,
 }
 
-const ALL_KINDS: [EventKind; 10] = [
+const ALL_KINDS: [EventKind; 12] = [
     EventKind::RequestBegins,
     EventKind::WrittenCompletely,
     EventKind::Bytes,
-    EventKind::Answered { said: ResponseMeaning::Served, names_another: false },
-    EventKind::Answered { said: ResponseMeaning::RefusedUnprocessed, names_another: false },
-    EventKind::Answered { said: ResponseMeaning::Served, names_another: true },
+    EventKind::Answered { said: ResponseMeaning::Served, doubt: None },
+    EventKind::Answered { said: ResponseMeaning::RefusedUnprocessed, doubt: None },
+    EventKind::Answered { said: ResponseMeaning::Served, doubt: Some(ResponseDoubt::NamesAnother) },
+    EventKind::Answered { said: ResponseMeaning::Served, doubt: Some(ResponseDoubt::Contradicted) },
+    EventKind::Answered {
+        said: ResponseMeaning::RefusedUnprocessed,
+        doubt: Some(ResponseDoubt::Contradicted),
+    },
     EventKind::BytesBehindAnswer,
     EventKind::ConnectionEnds,
     EventKind::ShortPause,
@@ -73,9 +85,9 @@
                     EventKind::WrittenCompletely => written |= expects,
                     EventKind::Bytes if !expects || !written => return None,
                     EventKind::Bytes | EventKind::ShortPause | EventKind::LongPause => {}
-                    EventKind::Answered { names_another, .. } => {
+                    EventKind::Answered { doubt, .. } => {
                         let need = if answers == 0 { NEED.new } else { NEED.used };
-                        if !expects || !written || *names_another || *at < idle_since + need {
+                        if !expects || !written || doubt.is_some() || *at < idle_since + need {
                             return None;
                         }
                         (expects, idle_since, answers) = (false, *at, answers + 1);
@@ -109,14 +121,14 @@
 fn check(history: &History, now: Duration, kind: EventKind, verdict: Verdict) {
     let is_attributable = history.must_belong_to_last_request(now);
     let is_supported = match (verdict.proof, kind) {
-        (Proof::MayHaveRun, EventKind::Answered { names_another, .. }) => !is_attributable || names_another,
+        (Proof::MayHaveRun, EventKind::Answered { doubt, .. }) => !is_attributable || doubt.is_some(),
         (Proof::MayHaveRun, _) => true,
-        (Proof::Served, EventKind::Answered { said, names_another }) => {
-            is_attributable && said == ResponseMeaning::Served && !names_another
+        (Proof::Served, EventKind::Answered { said, doubt }) => {
+            is_attributable && said == ResponseMeaning::Served && doubt.is_none()
         }
-        (Proof::NeverRan, EventKind::Answered { said, names_another }) => {
+        (Proof::NeverRan, EventKind::Answered { said, doubt }) => {
             !history.is_written()
-                || (is_attributable && said == ResponseMeaning::RefusedUnprocessed && !names_another)
+                || (is_attributable && said == ResponseMeaning::RefusedUnprocessed && doubt.is_none())
         }
         (Proof::NeverRan, _) => {
             !history.is_written() || history.split().is_none_or(|(_, since)| has_response(since))
@@ -157,8 +169,13 @@
                 EventKind::Bytes => {
                     let _ = connection.received(at);
                 }
-                EventKind::Answered { said, names_another } => {
-                    let answer = Answer { meaning: said, began: at, names_other_request: names_another };
+                EventKind::Answered { said, doubt } => {
+                    let answer = Answer {
+                        meaning: said,
+                        began: at,
+                        names_other_request: doubt == Some(ResponseDoubt::NamesAnother),
+                        is_contradicted: doubt == Some(ResponseDoubt::Contradicted),
+                    };
                     let verdict = connection.judge_response(at, answer, NEED);
                     check(&history, now, kind, verdict);
                     self.verdicts += 1;
--- /dev/null
+++ b/crates/exchange/tests/response_time.rs
@@ -0,0 +1,94 @@
+//! Tests which responses count as implausibly early, and how long their contradiction is waited for.
+
+use std::time::{Duration, Instant};
+
+use glenwood_exchange::{ResponseKind, ResponseTimes};
+use proptest::prelude::*;
+
+const MS: Duration = Duration::from_millis(1);
+const SERVER: u8 = 0;
+/// Enough responses for a bound.
+const ENOUGH: u32 = 8;
+
+/// A server that has sent `count` responses of a kind after 45 to 65 ms.
+fn with_responses(kind: ResponseKind, count: u32) -> (ResponseTimes<u8>, Instant) {
+    let (mut times, start) = (ResponseTimes::default(), Instant::now());
+    for number in 0..count {
+        times.record(start + number * MS, SERVER, kind, (45 + number * 7 % 21) * MS);
+    }
+    (times, start)
+}
+
+/// Guards against responses that are doubted on little evidence.
+#[test]
+fn few_responses_make_no_bound() {
+    let (times, _) = with_responses(ResponseKind::Served, ENOUGH - 1);
+    assert_eq!(times.true_response_within(SERVER, ResponseKind::Served, MS), None);
+    assert_eq!(times.true_response_within(1, ResponseKind::Served, MS), None, "an unknown server");
+}
+
+/// Guards against a late response to an earlier request that is taken for the answer to the next one.
+#[test]
+fn a_response_well_before_the_shortest_time_is_early() {
+    let (times, _) = with_responses(ResponseKind::Served, ENOUGH);
+    for ms in 0..33 {
+        let within = times.true_response_within(SERVER, ResponseKind::Served, ms * MS);
+        assert!(within.is_some_and(|within| within >= 65 * MS), "{ms} ms: {within:?}");
+    }
+    assert_eq!(times.true_response_within(SERVER, ResponseKind::Served, 34 * MS), None);
+}
+
+/// Guards against true refusals, which are quicker than work, being doubted, and against those of earlier
+/// requests not being doubted while no refusal has been seen.
+#[test]
+fn a_refusal_is_compared_with_refusals_once_some_are_known() {
+    let (mut times, now) = with_responses(ResponseKind::Served, ENOUGH);
+    let early = |times: &ResponseTimes<u8>, ms: u32| {
+        times.true_response_within(SERVER, ResponseKind::Unprocessed, ms * MS).is_some()
+    };
+    assert!(early(&times, 20));
+    (0..ENOUGH).for_each(|_| times.record(now, SERVER, ResponseKind::Unprocessed, 21 * MS));
+    assert!(!early(&times, 20));
+    assert!(early(&times, 10));
+}
+
+/// Guards against a bound that stays although the server has become quicker, or the path slower.
+#[test]
+fn the_bound_follows_the_server() {
+    let (mut times, start) = with_responses(ResponseKind::Served, ENOUGH);
+    let early = |times: &ResponseTimes<u8>, ms: u32| {
+        times.true_response_within(SERVER, ResponseKind::Served, ms * MS).is_some()
+    };
+    times.record(start + 100 * MS, SERVER, ResponseKind::Served, 10 * MS);
+    assert!(!early(&times, 8), "it has become quicker");
+    for number in 0..3 * ENOUGH {
+        let now = start + Duration::from_secs(u64::from(60 + 10 * number));
+        times.record(now, SERVER, ResponseKind::Served, 50 * MS);
+    }
+    assert!(early(&times, 30), "it has become slower");
+}
+
+/// Guards against the bound of a process that another one has replaced.
+#[test]
+fn another_process_has_no_bound() {
+    let (mut times, _) = with_responses(ResponseKind::Served, ENOUGH);
+    times.forget(SERVER);
+    assert_eq!(times.true_response_within(SERVER, ResponseKind::Served, MS), None);
+}
+
+proptest! {
+    /// Guards against a response that is doubted although the server has been as quick before.
+    #[test]
+    fn no_response_is_early_that_took_as_long_as_an_earlier_one(
+        delays in proptest::collection::vec(1u32..500, 1..60),
+    ) {
+        let (mut times, start) = (ResponseTimes::default(), Instant::now());
+        for (number, delay) in (0u32..).zip(&delays) {
+            times.record(start + number * MS, SERVER, ResponseKind::Served, *delay * MS);
+            for earlier in &delays[..=number as usize] {
+                let within = times.true_response_within(SERVER, ResponseKind::Served, *earlier * MS);
+                prop_assert_eq!(within, None);
+            }
+        }
+    }
+}
--- a/crates/node/src/backend/http1/answer.rs
+++ b/crates/node/src/backend/http1/answer.rs
@@ -23,7 +23,7 @@
 use crate::blocks::OutgoingBody;
 use crate::call::{Content, Reply, Truncated, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
 use crate::headers::end_to_end;
-use crate::sock::{Io, Pending};
+use crate::sock::{Io, Pending, TrackedSocket};
 
 /// How long a server may pause within a streamed answer. An answer that makes progress is never cut off.
 const STALL_TIMEOUT: Duration = Duration::from_secs(5);
@@ -95,6 +95,21 @@
         named.is_some_and(|named| id.is_none_or(|id| named.as_bytes() != id.as_bytes()))
     }
 
+    /// Returns whether the body is too long to buffer and was not read to its end.
+    pub fn is_incomplete(&self) -> bool {
+        self.rest.is_some()
+    }
+
+    /// Returns whether no other answer can follow on the connection.
+    pub fn ends_connection(&self) -> bool {
+        !self.may_reuse
+    }
+
+    /// Returns whether nothing was received behind the answer, which was read to its end.
+    pub fn is_exact(&self, sock: &TrackedSocket) -> bool {
+        sock.received_exactly(self.read.len(), self.framing == Framing::Chunked)
+    }
+
     /// Converts the answer into the attempt's result. The connection goes back to the pool, or stays with the
     /// body that is still to be streamed.
     pub fn into_ended(
--- a/crates/node/src/backend/http1/mod.rs
+++ b/crates/node/src/backend/http1/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 servers: attempts, probes and their outcomes.
 
 mod answer;
+mod early;
 mod pool;
 
 use std::cell::{Cell, RefCell};
@@ -11,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use glenwood_core::{AttemptId, AttemptResult};
-use glenwood_exchange::{Answer, Proof, ProofReason, Verdict};
+use glenwood_exchange::{Answer, Proof, ProofReason, ResponseKind, Verdict};
 use glenwood_policy::{Outcome, ServerId};
 use hyper::header::{HeaderValue, HOST};
 use hyper::{Request, Uri};
@@ -23,6 +24,7 @@
 use crate::call::{Call, Reply, REMAINING};
 use crate::hub::Hub;
 use answer::{send_and_receive, ExchangeError, ReceivedAnswer};
+use early::{sequel, Exchanged, Sequel};
 use pool::{Link, Pool, Readiness};
 
 /// How many new connections in a row may receive unexpected bytes before the attempt fails.
@@ -61,6 +63,14 @@
         }
     }
 
+    /// The kind of an answer to this message.
+    fn kind_of(&self, received: &ReceivedAnswer) -> ResponseKind {
+        match self {
+            Self::Call(_) => received.classify().into(),
+            Self::Probe | Self::Check => ResponseKind::HealthCheck,
+        }
+    }
+
     fn request(&self, deadline: Instant) -> Request<OutgoingBody> {
         let mut request = Request::new(self.body());
         match self {
@@ -308,15 +318,21 @@
             }
             Some(Ok(received)) => {
                 pool.record_answered(server, sent);
-                let verdict = verdict_of(pool, server, &mut link, message, &received);
+                let kind = message.kind_of(&received);
+                let exchanged = Exchanged { hub, pool, server, kind, deadline };
+                let sequel = sequel(exchanged, &link, &received).await;
+                let verdict = verdict_of(pool, server, &mut link, message, &received, sequel);
                 match outcome_of(verdict, &received) {
                     Ok(()) => {
-                        pool.note_answer(server);
+                        pool.note_answer(server, kind, sock.answer_delay());
                         hub.connection_answered(server, link.exchange.opened());
                         return received.into_ended(servers, server, link, attempt);
                     }
                     Err(outcome) => {
                         hub.answer_doubted(server, attempt, verdict);
+                        if may_continue {
+                            continue;
+                        }
                         outcome
                     }
                 }
@@ -359,18 +375,26 @@
     link: &mut Link,
     message: &Message,
     received: &ReceivedAnswer,
+    sequel: Sequel,
 ) -> Verdict {
     let id = match message {
         Message::Call(call) => Some(call.id.as_str()),
         Message::Probe | Message::Check => None,
     };
     let now = Instant::now();
+    let began = link.sock.answer_began_at().unwrap_or(now);
     let answer = Answer {
         meaning: received.classify(),
-        began: link.sock.answer_began_at().unwrap_or(now),
+        began,
         names_other_request: received.names_another_request(id),
+        is_contradicted: sequel != Sequel::Nothing,
     };
-    link.exchange.judge_response(now, answer, pool.required_idle(server))
+    let verdict = link.exchange.judge_response(now, answer, pool.required_idle(server));
+    if sequel == Sequel::AnotherAnswer {
+        let seen = link.exchange.contradicted(began);
+        pool.record_unsolicited(server, seen);
+    }
+    verdict
 }
 
 /// The outcome of an attempt whose answer is not accepted as it stands; `Ok` if it is.
--- a/crates/node/src/backend/http1/pool.rs
+++ b/crates/node/src/backend/http1/pool.rs
@@ -8,7 +8,9 @@
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
-use glenwood_exchange::{Connection as Exchange, DistrustTracker, RequiredIdle, UnsolicitedBytes};
+use glenwood_exchange::{
+    Connection as Exchange, DistrustTracker, RequiredIdle, ResponseKind, ResponseTimes, UnsolicitedBytes,
+};
 use glenwood_policy::{Outcome, ServerId};
 use glenwood_settings::NodeSettings;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
@@ -105,6 +107,7 @@
     hub: Rc<Hub>,
     idle: RefCell<HashMap<ServerId, Vec<IdleLink>>>,
     distrust: RefCell<DistrustTracker<ServerId>>,
+    response_times: RefCell<ResponseTimes<ServerId>>,
     /// The attempts for which no byte was received, by number and time of sending.
     unanswered: RefCell<HashMap<ServerId, Vec<(u64, Instant)>>>,
     /// The latest time of sending among the attempts that each server has answered.
@@ -124,6 +127,7 @@
             hub,
             idle: RefCell::default(),
             distrust: RefCell::default(),
+            response_times: RefCell::default(),
             unanswered: RefCell::default(),
             answered: RefCell::default(),
             last_number: Cell::new(0),
@@ -143,6 +147,7 @@
         self.answered.borrow_mut().remove(&server);
         self.idle.borrow_mut().remove(&server);
         self.distrust.borrow_mut().forget(server);
+        self.response_times.borrow_mut().forget(server);
     }
 
     /// Closes connections that have been idle for too long, to release their descriptors.
@@ -160,9 +165,23 @@
 
     // ---- Matching answers to requests ----
 
-    /// Records that a server answered in order.
-    pub fn note_answer(&self, server: ServerId) {
+    /// Records that a server answered in order, and how long after the request.
+    pub fn note_answer(&self, server: ServerId, kind: ResponseKind, delay: Option<Duration>) {
         self.distrust.borrow_mut().note_answer(server);
+        if let Some(delay) = delay {
+            self.response_times.borrow_mut().record(Instant::now(), server, kind, delay);
+        }
+    }
+
+    /// If an answer after `delay` is implausibly early, returns the time after its request within which the
+    /// true answer would arrive.
+    pub fn true_answer_within(
+        &self,
+        server: ServerId,
+        kind: ResponseKind,
+        delay: Duration,
+    ) -> Option<Duration> {
+        self.response_times.borrow().true_response_within(server, kind, delay)
     }
 
     /// How long connections to a server must be silent before an answer on them is trusted.
--- a/crates/node/src/hub/answers.rs
+++ b/crates/node/src/hub/answers.rs
@@ -34,7 +34,25 @@
     }
 }
 
+fn as_ms(span: Duration) -> f64 {
+    span.as_secs_f64() * 1000.0
+}
+
 impl Hub {
+    /// An answer began after `elapsed`, sooner than its server was known to answer; the true one would come
+    /// within `expected_within`.
+    pub fn report_early_answer(&self, server: ServerId, elapsed: Duration, expected_within: Duration) {
+        self.figures.with(|figures| figures.early_answers += 1);
+        if self.answer_log_budget.take(Instant::now()) {
+            let (node, name) = (&self.config.name, self.server_name(server));
+            log::write_line(format!(
+                "{node} answer early: server {name}, {:.1} ms after its request, usually within {:.1} ms",
+                as_ms(elapsed),
+                as_ms(expected_within)
+            ));
+        }
+    }
+
     /// A server sent bytes that no request was waiting for. `scope` is set where this makes a server, or
     /// all, doubted; `required_idle` is how long connections must be idle before they are used then.
     pub fn report_unsolicited_bytes(
@@ -46,12 +64,11 @@
     ) {
         self.figures.with(|figures| figures.out_of_turn += 1);
         let UnsolicitedBytes { phase, after, age, answers } = seen;
-        let ms = |span: Duration| span.as_secs_f64() * 1000.0;
         self.trace(|name| TraceEvent::UnsolicitedBytes {
             server: name(server),
             connection_state: phase.to_string(),
-            idle_ms: ms(after),
-            age_ms: ms(age),
+            idle_ms: as_ms(after),
+            age_ms: as_ms(age),
             answers,
         });
         if scope.is_none() && !self.answer_log_budget.take(Instant::now()) {
@@ -60,8 +77,8 @@
         let (node, name) = (&self.config.name, self.server_name(server));
         log::write_line(format!(
             "{node} answer out of turn: server {name}, {phase}, {:.1} ms after, connection {:.1} ms old, {answers} answers",
-            ms(after),
-            ms(age)
+            as_ms(after),
+            as_ms(age)
         ));
         if let Some(scope) = scope {
             let whom = match scope {
@@ -70,8 +87,8 @@
             };
             log::write_line(format!(
                 "{node} doubts answers of {whom}: connections stay idle for {:.0} ms when new and {:.0} ms after an answer",
-                ms(required_idle.new),
-                ms(required_idle.used)
+                as_ms(required_idle.new),
+                as_ms(required_idle.used)
             ));
         }
     }
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -202,7 +202,7 @@
     last_bytes: Cell<[u8; 5]>,
     /// When the body of the current request began to arrive, and how many bytes preceded it.
     body_start: Cell<Option<(Instant, usize)>>,
-    /// When the kernel last accepted bytes to write.
+    /// When the call began by which the kernel last accepted bytes to write.
     last_write_at: Cell<Instant>,
     /// The progress of the current request's body, if it is streamed.
     upload: RefCell<Option<Rc<UploadProgress>>>,
@@ -288,6 +288,13 @@
         self.answer.borrow().first_byte_at
     }
 
+    /// How long after the last byte of the message the answer began; `None` if there is no answer, or if it
+    /// began before.
+    pub fn answer_delay(&self) -> Option<Duration> {
+        let began = self.answer_began_at().filter(|_| self.is_written() && !self.answered_early())?;
+        Some(began.saturating_duration_since(self.last_write_at()))
+    }
+
     /// Returns whether the answer began before the kernel had accepted the message's last byte.
     pub fn answered_early(&self) -> bool {
         self.answer.borrow().is_early
@@ -348,7 +355,7 @@
         self.last_read_at.get()
     }
 
-    /// When the kernel last accepted bytes to write.
+    /// When the call began by which the kernel last accepted bytes to write.
     pub fn last_write_at(&self) -> Instant {
         self.last_write_at.get()
     }
@@ -576,10 +583,11 @@
         }
     }
 
-    fn record_write(&self, bytes: &[u8]) {
+    /// Records bytes that the kernel accepted in a call that began at `at`.
+    fn record_write(&self, bytes: &[u8], at: Instant) {
         self.outgoing.borrow_mut().advance(bytes);
         if !bytes.is_empty() {
-            self.last_write_at.set(Instant::now());
+            self.last_write_at.set(at);
         }
         if self.is_written() {
             if let Some(callback) = self.on_written.take() {
@@ -645,9 +653,10 @@
         let sock = &self.0;
         loop {
             ready!(sock.stream.poll_write_ready(cx))?;
+            let at = Instant::now();
             match sock.stream.try_write(buf) {
                 Ok(n) => {
-                    sock.record_write(&buf[..n]);
+                    sock.record_write(&buf[..n], at);
                     return Poll::Ready(Ok(n));
                 }
                 Err(e) if is_retryable(&e) => {}
@@ -664,13 +673,14 @@
         let sock = &self.0;
         loop {
             ready!(sock.stream.poll_write_ready(cx))?;
+            let at = Instant::now();
             match sock.stream.try_write_vectored(parts) {
                 Ok(n) => {
                     let mut left = n;
                     for part in parts {
                         let taken = left.min(part.len());
                         if taken > 0 {
-                            sock.record_write(&part[..taken]);
+                            sock.record_write(&part[..taken], at);
                         }
                         left -= taken;
                     }
--- a/crates/node/tests/peers/many.rs
+++ b/crates/node/tests/peers/many.rs
@@ -21,8 +21,20 @@
 use super::strays::{unsolicited_response, Delivery, ResponseFaults};
 use super::{answer, host};
 
-/// Default time that a server takes for a request, in milliseconds.
-const DEFAULT_WORK_MS: Range<u64> = 1..20;
+/// How soon servers answer.
+#[derive(Clone, Debug)]
+pub struct ServerTiming {
+    /// How long the path to a server and back takes.
+    pub round_trip: Duration,
+    /// How long a server works on a request, in milliseconds.
+    pub work_ms: Range<u64>,
+}
+
+impl Default for ServerTiming {
+    fn default() -> Self {
+        Self { round_trip: Duration::ZERO, work_ms: 1..20 }
+    }
+}
 
 /// How a server leaves service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,7 +71,7 @@
     checks: Arc<AtomicUsize>,
     connections: Arc<AtomicUsize>,
     faults: Arc<Mutex<ResponseFaults>>,
-    work_ms: Range<u64>,
+    timing: ServerTiming,
     accept_tasks: Mutex<Vec<JoinHandle<()>>>,
 }
 
@@ -84,11 +96,11 @@
 impl ServerPool {
     /// Starts `count` servers that write the requests they receive to the record.
     pub fn start(count: usize, record: &Arc<Record>) -> Self {
-        Self::start_with_work_time(count, record, DEFAULT_WORK_MS)
+        Self::start_with_timing(count, record, ServerTiming::default())
     }
 
-    /// The same, with the range of times that a server takes for a request, in milliseconds.
-    pub fn start_with_work_time(count: usize, record: &Arc<Record>, work_ms: Range<u64>) -> Self {
+    /// The same, with the times after which servers answer.
+    pub fn start_with_timing(count: usize, record: &Arc<Record>, timing: ServerTiming) -> Self {
         raise_descriptor_limit();
         let servers: Arc<Vec<ServerState>> = Arc::new((0..count).map(|_| ServerState::default()).collect());
         let (checks, connections) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
@@ -102,7 +114,7 @@
         let address = |listener: &TcpListener| listener.local_addr().expect("no local address");
         let addresses = listeners.iter().map(address).collect();
         let (record, faults, accept_tasks) = (record.clone(), Arc::default(), Mutex::default());
-        let pool = Self { addresses, servers, record, checks, connections, faults, work_ms, accept_tasks };
+        let pool = Self { addresses, servers, record, checks, connections, faults, timing, accept_tasks };
         for (number, listener) in listeners.into_iter().enumerate() {
             let accept_task = runtime().spawn(pool.server_process(number).accept(listener));
             pool.accept_tasks.lock().expect("mutex poisoned").push(accept_task);
@@ -119,7 +131,7 @@
             checks: self.checks.clone(),
             connections: self.connections.clone(),
             faults: self.faults.clone(),
-            work_ms: self.work_ms.clone(),
+            timing: self.timing.clone(),
         }
     }
 
@@ -197,7 +209,7 @@
     checks: Arc<AtomicUsize>,
     connections: Arc<AtomicUsize>,
     faults: Arc<Mutex<ResponseFaults>>,
-    work_ms: Range<u64>,
+    timing: ServerTiming,
 }
 
 /// The write half of a connection.
@@ -245,6 +257,9 @@
             delayed_writes.spawn(write_after(writer.clone(), delay, unsolicited_response(&mut rng)));
         }
         while let Some(message) = http::read(&mut reader).await? {
+            if !self.timing.round_trip.is_zero() {
+                tokio::time::sleep(self.timing.round_trip).await;
+            }
             let at = Instant::now();
             let inactive = *self.states[self.number].inactive.lock().expect("mutex poisoned");
             if message.target() == "/health" {
@@ -269,7 +284,8 @@
                 write(&writer, &answer(503, "X-Turned-Away: 1\r\n", "")).await?;
                 continue;
             }
-            tokio::time::sleep(rng.between(self.work_ms.start, self.work_ms.end)).await;
+            let work_ms = &self.timing.work_ms;
+            tokio::time::sleep(rng.between(work_ms.start, work_ms.end)).await;
             let delivery = self.faults.lock().expect("mutex poisoned").delivery(&mut rng);
             for delay in &delivery.unsolicited_delays {
                 delayed_writes.spawn(write_after(writer.clone(), *delay, unsolicited_response(&mut rng)));
--- a/crates/node/tests/peers/strays.rs
+++ b/crates/node/tests/peers/strays.rs
@@ -65,6 +65,12 @@
 pub struct ResponseFaults(pub Vec<ResponseFault>);
 
 impl ResponseFaults {
+    /// Those of the faults that are proper answers.
+    pub fn rejections(&self) -> Self {
+        let is_rejection = |fault: &&ResponseFault| matches!(fault, ResponseFault::Rejection { .. });
+        Self(self.0.iter().filter(is_rejection).cloned().collect())
+    }
+
     /// After which delay a response that no request asked for is sent on a new connection, if one is.
     pub fn unsolicited_on_connect(&self, rng: &mut Rng) -> Option<Duration> {
         self.0.iter().find_map(|fault| match fault {
--- a/crates/node/tests/whose_answer.rs
+++ b/crates/node/tests/whose_answer.rs
@@ -14,7 +14,7 @@
 
 use peers::dice::Rng;
 use peers::list_service::ListService;
-use peers::many::{SchedulingDelay, ServerPool};
+use peers::many::{SchedulingDelay, ServerPool, ServerTiming};
 use peers::record::*;
 use peers::strays::{ResponseFault, ResponseFaults};
 use peers::*;
@@ -22,11 +22,8 @@
 
 const NODES: u64 = 3;
 const SERVERS: usize = 6;
-const CLIENTS: u64 = 36;
 /// How long a run lasts, in seconds.
 const SECONDS: u64 = 6;
-/// How long a server works on a request, in milliseconds.
-const WORK_MS: std::ops::Range<u64> = 10..90;
 /// How long a client pauses between two requests, in milliseconds.
 const PAUSE_MS: (u64, u64) = (1, 40);
 /// How long servers keep an idle connection: so short that new ones are opened throughout the run.
@@ -40,7 +37,52 @@
     std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(fallback)
 }
 
+/// The nodes, servers and clients of a run, unless the environment sets other numbers.
+struct Deployment {
+    nodes: u64,
+    servers: usize,
+    clients: u64,
+    timing: ServerTiming,
+    /// Whether clients pause between two requests.
+    clients_pause: bool,
+    /// From when on servers send what no request asked for.
+    faults_after: Duration,
+    /// How long servers keep an idle connection, in milliseconds.
+    keepalive_ms: f64,
+}
+
+impl Default for Deployment {
+    fn default() -> Self {
+        Self {
+            nodes: env_number("GLENWOOD_NODES", NODES),
+            servers: env_number("GLENWOOD_SERVERS", SERVERS as u64) as usize,
+            clients: env_number("GLENWOOD_CLIENTS", 36),
+            timing: ServerTiming { round_trip: Duration::ZERO, work_ms: 10..90 },
+            clients_pause: true,
+            faults_after: Duration::ZERO,
+            keepalive_ms: KEEPALIVE_MS,
+        }
+    }
+}
+
+impl Deployment {
+    /// One server in another data centre, all connections to which are in use most of the time, so that each
+    /// is used again at once. It answers as it should at first, so that nodes distrust nothing.
+    fn one_distant_server() -> Self {
+        Self {
+            nodes: 1,
+            servers: 1,
+            clients: 12,
+            timing: ServerTiming { round_trip: Duration::from_millis(20), work_ms: 25..45 },
+            clients_pause: false,
+            faults_after: Duration::from_secs(2),
+            keepalive_ms: 60_000.0,
+        }
+    }
+}
+
 struct TestCluster {
+    clients_pause: bool,
     record: Arc<Record>,
     servers: ServerPool,
     service: ListService,
@@ -50,27 +92,27 @@
 }
 
 impl TestCluster {
-    fn start(seed: u64, strays: &ResponseFaults) -> Self {
+    fn start(seed: u64, deployment: &Deployment, strays: &ResponseFaults) -> Self {
         let record: Arc<Record> = Arc::default();
-        let servers = ServerPool::start_with_work_time(
-            env_number("GLENWOOD_SERVERS", SERVERS as u64) as usize,
-            &record,
-            WORK_MS,
-        );
-        servers.set_response_faults(strays.clone());
+        let servers = ServerPool::start_with_timing(deployment.servers, &record, deployment.timing.clone());
+        servers.set_response_faults(if deployment.faults_after.is_zero() {
+            strays.clone()
+        } else {
+            strays.rejections()
+        });
         let entries: Vec<Value> = (0..servers.count()).map(|number| servers.entry(number)).collect();
         let service = ListService::start(&entries);
         let operator =
             PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("whose-{}.toml", std::process::id()));
         std::fs::write(&operator, "[trace]\non = true\n").expect("a file");
-        let count = env_number("GLENWOOD_NODES", NODES);
+        let count = deployment.nodes;
         let start = |number: u64| {
             let mut config = config(service.address);
             config["seed"] = json!(format!("{:x}", seed * 1_000 + number + 1));
             config["settings"]["PeersTotal"] = json!(count);
             config["settings"]["Me"] = json!(number);
             config["settings"]["Limits"]["ConnectTimeout"] = json!(120.0);
-            config["settings"]["Limits"]["Keepalive"] = json!(KEEPALIVE_MS);
+            config["settings"]["Limits"]["Keepalive"] = json!(deployment.keepalive_ms);
             for class in config["settings"]["Classes"].as_array_mut().expect("classes") {
                 class["Slo"] = json!(1000.0);
                 class["Deadline"] = json!(3000.0);
@@ -80,7 +122,8 @@
         let nodes: Vec<Node> = (0..count).map(start).collect();
         nodes.iter().for_each(Node::wait_ready);
         let (is_over, next_request) = (AtomicBool::new(false), AtomicUsize::new(0));
-        Self { record, servers, service, nodes, is_over, next_request }
+        let clients_pause = deployment.clients_pause;
+        Self { clients_pause, record, servers, service, nodes, is_over, next_request }
     }
 
     /// A client that sends requests to one node in a loop.
@@ -101,7 +144,9 @@
             if answer.is_none_or(|answer| answer.header("connection") == Some("close")) {
                 client = Client::to(node);
             }
-            std::thread::sleep(rng.between(PAUSE_MS.0, PAUSE_MS.1));
+            if self.clients_pause {
+                std::thread::sleep(rng.between(PAUSE_MS.0, PAUSE_MS.1));
+            }
         }
     }
 
@@ -130,15 +175,23 @@
 }
 
 /// Runs one seed; returns the violations and the number of connections to servers.
-fn run_seed(label: &str, strays: &ResponseFaults, seed: u64) -> (Vec<String>, usize) {
-    let cluster = TestCluster::start(seed, strays);
+fn run_seed(
+    label: &str,
+    deployment: &Deployment,
+    strays: &ResponseFaults,
+    seed: u64,
+) -> (Vec<String>, usize) {
+    let cluster = TestCluster::start(seed, deployment, strays);
     let driver_delay = SchedulingDelay::measure();
     std::thread::scope(|scope| {
-        for number in 0..env_number("GLENWOOD_CLIENTS", CLIENTS) {
+        for number in 0..deployment.clients {
             let cluster = &cluster;
             scope.spawn(move || cluster.run_client(number, seed));
         }
-        std::thread::sleep(Duration::from_secs(env_number("GLENWOOD_SECONDS", SECONDS)));
+        std::thread::sleep(deployment.faults_after);
+        cluster.servers.set_response_faults(strays.clone());
+        let run_time = Duration::from_secs(env_number("GLENWOOD_SECONDS", SECONDS));
+        std::thread::sleep(run_time.saturating_sub(deployment.faults_after));
         cluster.is_over.store(true, Ordering::SeqCst);
     });
     cluster.record.set_test_delay(driver_delay.longest());
@@ -170,12 +223,17 @@
 
 /// Runs all seeds, asserts that there is no violation, and returns the number of connections to servers.
 fn assert_rules_hold(label: &str, strays: &[ResponseFault]) -> usize {
+    assert_rules_hold_in(&Deployment::default(), label, strays)
+}
+
+/// The same in another deployment than the default one.
+fn assert_rules_hold_in(deployment: &Deployment, label: &str, strays: &[ResponseFault]) -> usize {
     let _guard = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let strays = ResponseFaults(strays.to_vec());
     let first = env_number("GLENWOOD_FIRST", 1);
     let (mut violations, mut connections) = (Vec::new(), 0);
     for seed in first..first + env_number("GLENWOOD_SEEDS", 1) {
-        let (breaches, count) = run_seed(label, &strays, seed);
+        let (breaches, count) = run_seed(label, deployment, &strays, seed);
         violations.extend(breaches);
         connections += count;
     }
@@ -220,6 +278,17 @@
     );
 }
 
+/// Guards against a connection whose answers are off by one for good, after a single second answer that
+/// arrived while the next request was already written.
+#[test]
+fn a_second_answer_on_a_busy_connection_shifts_no_answers() {
+    assert_rules_hold_in(
+        &Deployment::one_distant_server(),
+        "second answer, 4 to 10 ms, all connections in use",
+        &[TURNS_AWAY, ResponseFault::ExtraResponse { share: 5, delay_ms: 4..10 }],
+    );
+}
+
 /// Guards against the same where it arrives later than connections usually stay idle.
 #[test]
 fn a_second_answer_that_comes_later_answers_no_request() {
--- a/crates/operation/src/figures.rs
+++ b/crates/operation/src/figures.rs
@@ -73,6 +73,8 @@
     pub out_of_turn: u64,
     /// Responses whose content was not trusted.
     pub doubted_answers: u64,
+    /// Responses that began sooner than their server was known to answer.
+    pub early_answers: u64,
     /// Configurations loaded at SIGHUP.
     pub conf_loaded: u64,
     /// Configurations rejected at SIGHUP.
@@ -170,6 +172,12 @@
                 self.doubted_answers,
                 "Answers that were not taken for what they said.",
             ),
+            (
+                "answers_early",
+                "counter",
+                self.early_answers,
+                "Answers that began sooner than their server was known to answer.",
+            ),
             ("conf_loaded", "counter", self.conf_loaded, "Configurations taken at SIGHUP."),
             ("conf_invalid", "counter", self.conf_invalid, "Configurations turned down at SIGHUP."),
         ];
