Configuration gives zone and weight of a listed server, and takes nothing else away

Cause: `host_of` made a whole list entry of the four fields that configuration has, with 0 and empty text for the rest, and in the merge it replaced discovery's entry, as both had the start 0 ("long ago"). Ruled out: the group of an attempt, which is kept from its send; the order of the two sources, as the same happened with the version first.

Change: `ConfiguredServer` has no fields but those that configuration knows, and is laid over the entry of the other sources; so the default can't be written again. A cell that no source knows is `None`, and at the node a cell of the server's own, the same at every node, in place of cell 0 shared with all other unknown ones; likewise an empty zone, a server that custody asks for and that is gone, and a missing cell on the simulator's wire. A whole list of registrations no longer removes configured servers.

--- a/crates/coordination/tests/saved.rs
+++ b/crates/coordination/tests/saved.rs
@@ -10,8 +10,11 @@
         started_ms: 1.5e12,
         ..ListEntry::active("a", dial(1, Protocol::Http1))
     };
-    let second =
-        ListEntry { health: Health::Leaving, cell: 7, ..ListEntry::active("b", dial(2, Protocol::Msgpack)) };
+    let second = ListEntry {
+        health: Health::Leaving,
+        cell: Some(7),
+        ..ListEntry::active("b", dial(2, Protocol::Msgpack))
+    };
     SavedView { at_unix_ms: 1.79e12, hosts: vec![first, second] }
 }
 
--- a/crates/glenctl/src/register.rs
+++ b/crates/glenctl/src/register.rs
@@ -176,7 +176,7 @@
     let host = ListEntry {
         zone: arguments.zone.clone(),
         kind: arguments.kind.clone(),
-        cell: arguments.cell,
+        cell: Some(arguments.cell),
         weight: arguments.weight,
         started_ms: unix_ms(),
         ..ListEntry::active(&arguments.name, Endpoint { address: arguments.address, protocol })
--- a/crates/glenctl/tests/configuration.rs
+++ b/crates/glenctl/tests/configuration.rs
@@ -14,7 +14,7 @@
 
 use glenwood_testkit::discovery::{active, Discovery};
 use glenwood_testkit::node::{config, settings, Node, Program};
-use glenwood_testkit::script::{always, Ledger, Step};
+use glenwood_testkit::script::{always, Ledger, Script, Step};
 use glenwood_testkit::server::{Identity, Protocol, StandIn};
 use glenwood_testkit::until;
 use serde_json::{json, Value};
@@ -24,6 +24,11 @@
 /// Time within which a change must be in force at all nodes.
 const MAX_ROLLOUT_TIME: Duration = Duration::from_secs(12);
 
+/// How long the servers of a cell remember keys.
+const KEY_RETENTION: Duration = Duration::from_secs(60);
+/// Number of keyed requests before and after a change.
+const KEYED_REQUESTS: usize = 60;
+
 /// Runs `glenctl`; returns whether it succeeded and everything that it printed.
 fn glenctl(arguments: &[&str]) -> (bool, String) {
     let output =
@@ -78,7 +83,8 @@
     relay_at: Vec<SocketAddr>,
     nodes: Vec<Option<Node>>,
     discovery: Discovery,
-    _server: StandIn,
+    ledger: Ledger,
+    servers: Vec<StandIn>,
 }
 
 fn service(name: &str) -> Value {
@@ -95,7 +101,13 @@
 }
 
 impl Cluster {
+    /// A cluster with one server that serves every request.
     fn new(nodes: usize, name: &str) -> Self {
+        Self::with_servers(nodes, name, &[0], &always(Step::Serve))
+    }
+
+    /// A cluster with one server in each of `cells`, all of which follow the same script.
+    fn with_servers(nodes: usize, name: &str, cells: &[u64], script: &Script) -> Self {
         let folder =
             std::env::temp_dir().join(format!("glenctl-configuration-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("create the folder");
@@ -113,12 +125,18 @@
         };
         let relays: Vec<Publisher> = (0..RELAYS).map(relay).collect();
         let relay_at = relays.iter().map(|relay| relay.at).collect();
-        let identity = Identity { name: "a".into(), cell: 0, protocol: Protocol::Http };
-        let server = StandIn::start(identity, always(Step::Serve), Ledger::new(Duration::from_secs(8)));
-        let discovery = Discovery::start(&[active(&server)]);
+        let ledger = Ledger::new(KEY_RETENTION);
+        let server = |(number, cell): (usize, &u64)| {
+            let identity = Identity { name: format!("s{number}"), cell: *cell, protocol: Protocol::Http };
+            StandIn::start(identity, script.clone(), ledger.clone())
+        };
+        let servers: Vec<StandIn> = cells.iter().enumerate().map(server).collect();
+        let entries: Vec<Value> = servers.iter().map(active).collect();
+        let discovery = Discovery::start(&entries);
         let relays = relays.into_iter().map(Some).collect();
+        let nodes_so_far = Vec::new();
         let mut cluster =
-            Self { folder, source, relays, relay_at, nodes: Vec::new(), discovery, _server: server };
+            Self { folder, source, relays, relay_at, nodes: nodes_so_far, discovery, ledger, servers };
         cluster.nodes = (0..nodes).map(|n| Some(cluster.node(n))).collect();
         cluster
     }
@@ -251,6 +269,56 @@
     assert_eq!(ask(at, "a6", "look", "acme"), Some(200), "the file's classes remain");
 }
 
+/// Sends one keyed request and waits for its answer.
+fn pay(at: SocketAddr, key: &str) {
+    let mut stream = TcpStream::connect(at).expect("the node listens");
+    stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a timeout");
+    let request = format!(
+        "POST /pay/1 HTTP/1.1\r\nHost: x\r\nX-Txn: t-{key}\r\nIdempotency-Key: {key}\r\nX-Remaining-Ms: 8000\r\n\
+         Connection: close\r\nContent-Length: 0\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).expect("the request is written");
+    stream.read_to_string(&mut String::new()).expect("the answer ends");
+}
+
+/// Sends keyed requests, each of which fails at its first server after that has carried it out. Asserts that
+/// some were repeated, and that none was carried out in a second cell.
+fn assert_repeats_stay_in_their_cell(cluster: &Cluster, label: &str) {
+    let at = cluster.nodes[0].as_ref().expect("the process runs").address;
+    let keys: Vec<String> = (0..KEYED_REQUESTS).map(|number| format!("{label}-{number}")).collect();
+    keys.iter().for_each(|key| pay(at, key));
+    let repeated = |key: &&String| cluster.ledger.count_of(&format!("t-{key}")).attempts > 1;
+    assert!(keys.iter().any(|key| repeated(&key)), "{label}: nothing was repeated");
+    let twice: Vec<&String> = keys.iter().filter(|key| cluster.ledger.runs_of_key(key) > 1).collect();
+    assert!(twice.is_empty(), "{label}: carried out in two cells: {twice:?}");
+}
+
+/// Four servers in two cells that fail each request at its first attempt, after they have carried it out.
+fn cluster_with_two_cells(name: &str) -> Cluster {
+    let script: Script = Arc::new(|seen| match seen.earlier_attempts {
+        0 => Step::Error { executed: true },
+        _ => Step::Serve,
+    });
+    let cluster = Cluster::with_servers(1, name, &[1, 2, 1, 2], &script);
+    cluster.wait_until_in_force("1.0");
+    assert_repeats_stay_in_their_cell(&cluster, "before");
+    cluster
+}
+
+/// Guards against keyed requests that run in two cells after a version has named listed servers, whose cells
+/// it does not know.
+#[test]
+fn a_version_that_names_listed_servers_leaves_them_in_their_cells() {
+    let cluster = cluster_with_two_cells("cells");
+    let put = |(number, server): (usize, &StandIn)| {
+        json!({"put": {"name": format!("s{number}"), "owner": "ops", "body": {"server": {
+            "service": "search", "address": server.address, "zone": "a", "weight": 1.0 + number as f64}}}})
+    };
+    let version = cluster.push_accepted(&cluster.servers.iter().enumerate().map(put).collect());
+    cluster.wait_until_in_force(&version);
+    assert_repeats_stay_in_their_cell(&cluster, "after");
+}
+
 #[test]
 fn a_bad_change_is_rejected_with_a_reason_and_makes_no_version() {
     let cluster = Cluster::new(1, "bad");
--- a/crates/list/src/entry.rs
+++ b/crates/list/src/entry.rs
@@ -97,9 +97,9 @@
     /// Its kind of machine.
     #[serde(default, rename = "class")]
     pub kind: String,
-    /// Its cell.
-    #[serde(default, rename = "block")]
-    pub cell: u64,
+    /// Its cell; `None` if the source does not know it.
+    #[serde(default, rename = "block", skip_serializing_if = "Option::is_none")]
+    pub cell: Option<u64>,
     /// Its state.
     pub health: Health,
     /// Its weight.
@@ -115,14 +115,14 @@
 }
 
 impl ListEntry {
-    /// An active server with default values for all but its name and address.
+    /// An active server of which only its name and address are known.
     pub fn active(name: &str, endpoint: Endpoint) -> Self {
         Self {
             host: name.to_string(),
             endpoint: Some(endpoint),
             zone: String::new(),
             kind: String::new(),
-            cell: 0,
+            cell: None,
             health: Health::Active,
             weight: 1.0,
             started_ms: 0.0,
--- a/crates/list/src/merge.rs
+++ b/crates/list/src/merge.rs
@@ -1,4 +1,4 @@
-//! Merges the server lists of two sources, matching servers by name.
+//! Merges the server lists of two sources, and the servers that configuration names, matching servers by name.
 //!
 //! Precedence when the sources disagree:
 //!
@@ -9,13 +9,17 @@
 //! 2. *A drain reported by either source applies*, for as long as that source reports it.
 //! 3. *All other fields* (address, zone, kind, cell, weight, start time) come from the entry with the later
 //!    start time. On a tie the registration wins, since the server itself wrote it.
+//! 4. *Configuration gives the zone and the weight, and nothing else*, of a server that another source lists: it
+//!    does not know the rest. A removal from configuration applies like one by a source.
 //!
 //! A server that a source has never listed is not removed by its absence there: servers may be in one source
 //! only.
 
 use std::collections::BTreeMap;
 
-use crate::entry::{Health, ListEntry, Update};
+use std::net::SocketAddr;
+
+use crate::entry::{Endpoint, Health, ListEntry, Protocol, Update};
 
 /// The source of an update.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,12 +30,49 @@
     Registrations,
 }
 
+/// What configuration knows of a server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ConfiguredServer {
+    /// The name of the server, the same at every node.
+    pub name: String,
+    /// Where it listens, if no other source lists it.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Its weight.
+    pub weight: f64,
+}
+
+impl ConfiguredServer {
+    /// The entry of a server that only configuration knows.
+    fn entry(&self) -> ListEntry {
+        let endpoint = Endpoint { address: self.address, protocol: Protocol::Http1 };
+        self.overlay(ListEntry::active(&self.name, endpoint))
+    }
+
+    /// The entry of another source, with what configuration knows in its place.
+    fn overlay(&self, entry: ListEntry) -> ListEntry {
+        ListEntry { zone: self.zone.clone(), weight: self.weight, ..entry }
+    }
+}
+
+/// A change of the servers that configuration names.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ConfiguredChange {
+    /// A server is new or has other values.
+    Put(ConfiguredServer),
+    /// The server of this name is no longer configured.
+    Remove(String),
+}
+
 /// What the sources report about one server. At least one source lists it.
 #[derive(Debug, Default)]
 struct ServerRecord {
     /// The latest entry of each source that lists the server, indexed by [`Source`].
     by_source: [Option<ListEntry>; 2],
-    /// Set while one source has removed the server and the other still lists it: the latest start time known
+    /// What configuration knows of it, if configuration names it.
+    configured: Option<ConfiguredServer>,
+    /// Set while one source has removed the server and another still lists it: the latest start time known
     /// at the removal.
     removed_at_start: Option<f64>,
     /// The merged entry as last returned to the caller.
@@ -50,20 +91,35 @@
             return None;
         }
         let [discovery, registration] = &self.by_source;
-        let mut entry = match (discovery, registration) {
-            (Some(d), Some(r)) if d.started_ms > r.started_ms => d.clone(),
-            (_, Some(r)) => r.clone(),
-            (Some(d), None) => d.clone(),
-            (None, None) => return None,
+        let listed = match (discovery, registration) {
+            (Some(d), Some(r)) if d.started_ms > r.started_ms => Some(d),
+            (_, Some(r)) => Some(r),
+            (d, None) => d.as_ref(),
+        };
+        let mut entry = match (listed, &self.configured) {
+            (Some(listed), Some(configured)) => configured.overlay(listed.clone()),
+            (Some(listed), None) => listed.clone(),
+            (None, configured) => configured.as_ref()?.entry(),
         };
         // Includes the entry with the older start time: with clock skew, a drain on it could be a current
         // one.
-        entry.health = self.by_source.iter().flatten().map(|h| h.health).max().unwrap_or(Health::Left);
+        let health = self.by_source.iter().flatten().map(|h| h.health).max();
+        entry.health = health.unwrap_or(Health::Active);
         Some(entry)
     }
+
+    fn is_listed(&self) -> bool {
+        self.configured.is_some() || self.by_source.iter().any(Option::is_some)
+    }
+
+    /// One of the sources, which listed the server until now, has removed it; `start` is the latest start time
+    /// known before.
+    fn on_removed(&mut self, start: f64) {
+        self.removed_at_start = self.is_listed().then_some(start);
+    }
 }
 
-/// The merged list of both sources.
+/// The merged list of all sources.
 #[derive(Debug, Default)]
 pub struct MergedList {
     known: BTreeMap<String, ServerRecord>,
@@ -101,22 +157,56 @@
                 self.insert_entry(slot, host);
             }
         }
+        let changed = self.publish(affected);
+        let whole = update.is_full && source == Source::Discovery;
+        let hosts =
+            if whole { self.known.values().filter_map(|k| k.published.clone()).collect() } else { changed };
+        Update { version: update.version, is_full: whole, hosts }
+    }
+
+    /// Applies changes of the configuration and returns the entries of the merged list that changed by them.
+    pub fn apply_configured(&mut self, changes: Vec<ConfiguredChange>) -> Vec<ListEntry> {
+        let mut affected = Vec::new();
+        for change in changes {
+            match change {
+                ConfiguredChange::Put(server) => {
+                    affected.push(server.name.clone());
+                    let known = self.known.entry(server.name.clone()).or_default();
+                    if known.configured.is_none() {
+                        known.removed_at_start = None;
+                    }
+                    known.configured = Some(server);
+                }
+                ConfiguredChange::Remove(name) => {
+                    if let Some(known) = self.known.get_mut(&name) {
+                        let start = known.latest_start();
+                        if known.configured.take().is_some() {
+                            known.on_removed(start);
+                        }
+                    }
+                    affected.push(name);
+                }
+            }
+        }
+        self.publish(affected)
+    }
+
+    /// Brings the published entries of servers up to date and returns those that changed. Forgets servers that
+    /// no source lists.
+    fn publish(&mut self, names: Vec<String>) -> Vec<ListEntry> {
         let mut changed = Vec::new();
-        for name in affected {
+        for name in names {
             let Some(known) = self.known.get_mut(&name) else { continue };
             let entry = known.entry();
             if entry != known.published {
                 changed.extend(entry.clone().or_else(|| known.published.as_ref().map(ListEntry::as_removed)));
                 known.published = entry;
             }
-            if known.by_source.iter().all(Option::is_none) {
+            if !known.is_listed() {
                 self.known.remove(&name);
             }
         }
-        let whole = update.is_full && source == Source::Discovery;
-        let hosts =
-            if whole { self.known.values().filter_map(|k| k.published.clone()).collect() } else { changed };
-        Update { version: update.version, is_full: whole, hosts }
+        changed
     }
 
     fn insert_entry(&mut self, slot: usize, host: ListEntry) {
@@ -135,7 +225,7 @@
         let Some(known) = self.known.get_mut(name) else { return };
         let start = known.latest_start();
         if known.by_source[slot].take().is_some() {
-            known.removed_at_start = known.by_source.iter().any(Option::is_some).then_some(start);
+            known.on_removed(start);
         }
     }
 }
--- a/crates/list/tests/merge.rs
+++ b/crates/list/tests/merge.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use glenwood_list::Source::{Discovery, Registrations};
-use glenwood_list::{Endpoint, Health, ListEntry, MergedList, Protocol, Source, Update};
+use glenwood_list::{
+    ConfiguredChange, ConfiguredServer, Endpoint, Health, ListEntry, MergedList, Protocol, Source, Update,
+};
 use proptest::collection::vec;
 use proptest::prelude::*;
 
@@ -102,6 +104,79 @@
     assert_eq!(older.hosts[0].endpoint.expect("it has one").address.port(), 1);
 }
 
+fn configured(name: &str, port: u16, weight: f64) -> ConfiguredChange {
+    let address = ([127, 0, 0, 1], port).into();
+    ConfiguredChange::Put(ConfiguredServer { name: name.to_string(), address, zone: "z".into(), weight })
+}
+
+/// Guards against the loss of what configuration does not know: cell, kind, protocol, address and start of a
+/// listed server.
+#[test]
+fn configuration_gives_zone_and_weight_of_a_listed_server_and_nothing_else() {
+    let endpoint = Endpoint { address: ([127, 0, 0, 1], 1).into(), protocol: Protocol::Msgpack };
+    for started_ms in [0.0, 5.0] {
+        let listed = ListEntry {
+            cell: Some(3),
+            kind: "m1".into(),
+            started_ms,
+            health: Health::Leaving,
+            ..ListEntry::active("a", endpoint)
+        };
+        for source in [Discovery, Registrations] {
+            let mut merge = MergedList::default();
+            merge.apply(source, line(true, std::slice::from_ref(&listed)));
+            let expected = ListEntry { zone: "z".into(), weight: 2.5, ..listed.clone() };
+            let changed = merge.apply_configured(vec![configured("a", 9, 2.5)]);
+            assert_eq!(changed, std::slice::from_ref(&expected));
+            // The same if configuration came first.
+            let mut merge = MergedList::default();
+            merge.apply_configured(vec![configured("a", 9, 2.5)]);
+            assert_eq!(merge.apply(source, line(false, std::slice::from_ref(&listed))).hosts, [expected]);
+        }
+    }
+}
+
+/// Guards against servers that share a cell only because nobody knows theirs.
+#[test]
+fn a_server_that_only_configuration_knows_has_no_cell() {
+    let mut merge = MergedList::default();
+    let entries = merge.apply_configured(vec![configured("a", 9, 2.5)]);
+    assert_eq!((entries.len(), entries[0].cell, entries[0].health), (1, None, Health::Active));
+    assert_eq!(entries[0].endpoint.expect("it has one").address.port(), 9);
+}
+
+/// Guards against a server that stays, or is lost, when configuration and discovery disagree on it.
+#[test]
+fn a_removal_by_configuration_or_discovery_applies_until_its_source_lists_the_server_again() {
+    let removal = || vec![ConfiguredChange::Remove("a".into())];
+    let mut merge = MergedList::default();
+    apply(&mut merge, Discovery, true, &[up("a", 0.0)]);
+    merge.apply_configured(vec![configured("a", 1, 2.0)]);
+    assert_eq!(merge.apply_configured(removal())[0].health, Health::Left);
+    assert!(merge.is_empty(), "configuration has removed it");
+    assert_eq!(apply(&mut merge, Discovery, false, &[up("a", 0.0)]), []);
+    assert_eq!(merge.apply_configured(vec![configured("a", 1, 2.0)])[0].health, Health::Active);
+    assert_eq!(apply(&mut merge, Discovery, true, &[]), []);
+    assert!(merge.is_empty(), "discovery has removed it");
+    assert_eq!(
+        merge.apply_configured(vec![configured("a", 1, 3.0)]),
+        [],
+        "a later version does not bring it back"
+    );
+    assert_eq!(apply(&mut merge, Discovery, false, &[up("a", 0.0)]), change("a", Health::Active, 0.0));
+}
+
+/// Guards against configured servers that a full list of another source removes because it lacks them.
+#[test]
+fn a_full_list_keeps_servers_that_only_configuration_knows() {
+    for source in [Discovery, Registrations] {
+        let mut merge = MergedList::default();
+        merge.apply_configured(vec![configured("a", 1, 2.0)]);
+        apply(&mut merge, source, true, &[up("b", 0.0)]);
+        assert_eq!(merge.len(), 2);
+    }
+}
+
 #[test]
 fn entries_survive_a_round_trip_through_json() {
     let text = r#"{"host":"a","dial":"msgpack-rpc://127.0.0.1:9","site":"z","class":"m1","block":3,"health":"leaving",
--- a/crates/node/src/configuration/mod.rs
+++ b/crates/node/src/configuration/mod.rs
@@ -143,8 +143,8 @@
         let prepared = self.base.borrow().prepare(&self.hub, replica.resources(), offer)?;
         self.hub.change_settings(prepared.settings).map_err(|e| e.to_string())?;
         *self.base.borrow_mut() = prepared.base;
-        if !prepared.hosts.is_empty() {
-            self.hub.apply_configured_servers(prepared.hosts);
+        if !prepared.servers.is_empty() {
+            self.hub.apply_configured_servers(prepared.servers);
         }
         Ok(())
     }
--- a/crates/node/src/configuration/offer.rs
+++ b/crates/node/src/configuration/offer.rs
@@ -5,8 +5,8 @@
 use glenwood_configuration::replica::Offer;
 use glenwood_configuration::resource::{self, Effect as ResourceEffect, Server};
 use glenwood_configuration::resources::Resources;
-use glenwood_configuration::{Body, Entry, Key, Kind};
-use glenwood_list::{Endpoint, Health, ListEntry, Protocol};
+use glenwood_configuration::{Body, Key, Kind};
+use glenwood_list::{ConfiguredChange, ConfiguredServer};
 use glenwood_policy::{Class, Effect, Group, Tenant};
 use glenwood_settings::NodeSettings;
 
@@ -24,8 +24,8 @@
 pub struct Prepared {
     /// The changes of the settings.
     pub settings: SettingsChange,
-    /// The changes of the list.
-    pub hosts: Vec<ListEntry>,
+    /// The changes of the servers.
+    pub servers: Vec<ConfiguredChange>,
     /// The file's values of the resources that the replica has then.
     pub base: Base,
 }
@@ -45,9 +45,13 @@
     }
 }
 
-fn host_of(name: &str, server: &Server, health: Health) -> ListEntry {
-    let dial = Endpoint { address: server.address, protocol: Protocol::Http1 };
-    ListEntry { zone: server.zone.clone(), weight: server.weight, health, ..ListEntry::active(name, dial) }
+fn server_of(name: &str, server: &Server) -> ConfiguredServer {
+    ConfiguredServer {
+        name: name.to_string(),
+        address: server.address,
+        zone: server.zone.clone(),
+        weight: server.weight,
+    }
 }
 
 impl Base {
@@ -74,7 +78,7 @@
     /// The reason why the offer can't be applied.
     pub fn prepare(&self, hub: &Hub, in_force: &Resources, offer: &Offer) -> Result<Prepared, String> {
         let mut prepared =
-            Prepared { settings: SettingsChange::default(), hosts: Vec::new(), base: self.clone() };
+            Prepared { settings: SettingsChange::default(), servers: Vec::new(), base: self.clone() };
         let settings = hub.settings();
         for (key, entry) in &offer.changes {
             let (name, before) = (&key.name, in_force.get(key));
@@ -100,9 +104,9 @@
                     prepared.settings.classes.push((name.clone(), base.classes.remove(name)));
                 }
                 (Some(Body::Server(server)), _) => {
-                    prepared.hosts.push(host_of(name, server, Health::Active));
+                    prepared.servers.push(ConfiguredChange::Put(server_of(name, server)));
                 }
-                (None, Kind::Server) => prepared.hosts.extend(before.and_then(removed_host)),
+                (None, Kind::Server) => prepared.servers.push(ConfiguredChange::Remove(name.clone())),
                 (Some(Body::Service(_)), _) | (None, Kind::Service) => {}
             }
         }
@@ -111,14 +115,6 @@
     }
 }
 
-/// The list entry of a removed server.
-fn removed_host(entry: &Entry) -> Option<ListEntry> {
-    match &entry.body {
-        Body::Server(server) => Some(host_of(&entry.name, server, Health::Left)),
-        _ => None,
-    }
-}
-
 /// Checks that guarded works are retained for longer than the longest deadline, as at the start.
 fn check_deadlines(hub: &Hub, change: &SettingsChange) -> Result<(), String> {
     let Some(custody) = &hub.config.operator.custody else { return Ok(()) };
--- a/crates/node/src/custody/attempts.rs
+++ b/crates/node/src/custody/attempts.rs
@@ -9,6 +9,7 @@
 
 use super::{call_address, Custody, LocalWork, PendingAttempt};
 use crate::call::Call;
+use crate::list::Location;
 
 impl Custody {
     /// Starts an attempt. Where its request is guarded, the intent is written first.
@@ -47,7 +48,7 @@
                 _ => return,
             }
         };
-        let (zone, cell) = self.hub.zone_and_cell(next.1).unwrap_or_default();
+        let Location { zone, cell } = self.hub.location(next.1);
         let number = self.coordinator.borrow_mut().write_intent(self.now(), ticket, next.1 .0, zone, cell);
         if let (Some(number), Some(local)) = (number, self.local_works.borrow_mut().get_mut(&ticket)) {
             local.numbers.insert(next.0, number);
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -28,7 +28,7 @@
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::inspect::Stage;
-use crate::list::{ServerAddress, Servers, Update};
+use crate::list::{Location, ServerAddress, Servers, Update};
 use crate::log;
 use crate::operator::Trace;
 use crate::usage::Shares;
@@ -580,9 +580,9 @@
         self.update_core(|core, now| core.connection_answered(now, server, opened));
     }
 
-    /// The zone and the cell of a server, as numbers that are the same on all nodes.
-    pub fn zone_and_cell(&self, server: ServerId) -> Option<(u64, u64)> {
-        self.servers.borrow().zone_and_cell(server)
+    /// Where a server stands.
+    pub fn location(&self, server: ServerId) -> Location {
+        self.servers.borrow().location(server)
     }
 
     /// A server's address and incarnation, if it is listed as up.
--- a/crates/node/src/hub/servers.rs
+++ b/crates/node/src/hub/servers.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 
-use glenwood_list::Source;
+use glenwood_list::{ConfiguredChange, Source};
 use glenwood_policy::{ListFailure, Millis, RotationStatus};
 use glenwood_trace::TraceEvent;
 
@@ -10,24 +10,36 @@
 use crate::list::{Health, ListEntry, Update, UpdateTimes};
 use crate::log;
 
-/// When each source of the list was last seen, in the core's time.
+/// What an update of the merged list comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    Source(Source),
+    Configuration,
+}
+
+/// When each origin of the list was last seen, in the core's time.
 #[derive(Default)]
 pub(super) struct LastSeen {
     discovery: Cell<Option<Millis>>,
     registrations: Cell<Option<Millis>>,
+    configuration: Cell<Option<Millis>>,
 }
 
 impl LastSeen {
-    fn of(&self, source: Source) -> &Cell<Option<Millis>> {
-        match source {
-            Source::Discovery => &self.discovery,
-            Source::Registrations => &self.registrations,
+    fn of(&self, origin: Origin) -> &Cell<Option<Millis>> {
+        match origin {
+            Origin::Source(Source::Discovery) => &self.discovery,
+            Origin::Source(Source::Registrations) => &self.registrations,
+            Origin::Configuration => &self.configuration,
         }
     }
 
-    /// When any source was last seen; `None` before that.
+    /// When any origin was last seen; `None` before that.
     pub(super) fn latest(&self) -> Option<Millis> {
-        self.discovery.get().into_iter().chain(self.registrations.get()).reduce(f64::max)
+        [&self.discovery, &self.registrations, &self.configuration]
+            .into_iter()
+            .filter_map(Cell::get)
+            .reduce(f64::max)
     }
 }
 
@@ -86,7 +98,7 @@
     /// nothing has changed since the requested version.
     pub fn discovery_alive(&self, first: bool) {
         self.last_discovery_error.borrow_mut().clear();
-        self.list_last_seen.of(Source::Discovery).set(Some(self.clock.now()));
+        self.list_last_seen.of(Origin::Source(Source::Discovery)).set(Some(self.clock.now()));
         let list_received = self.list_received.replace(true);
         if first || !list_received {
             let rotation_status = self.list_lost_since.get().map(|_| self.core.borrow().rotation_status());
@@ -148,9 +160,11 @@
     }
 
     /// Configuration has added, changed or removed servers.
-    pub fn apply_configured_servers(&self, hosts: Vec<ListEntry>) {
+    pub fn apply_configured_servers(&self, changes: Vec<ConfiguredChange>) {
         self.list_received.set(true);
-        self.take_list(Source::Registrations, Update { version: 0, is_full: false, hosts }, false);
+        let Some(merge) = &self.merge else { return };
+        let hosts = merge.borrow_mut().apply_configured(changes);
+        self.apply_merged(Origin::Configuration, Update { version: 0, is_full: false, hosts }, false);
     }
 
     /// Has the server of that name answered within the last `max_age` milliseconds, and not failed since?
@@ -167,8 +181,13 @@
             Some(merge) => merge.borrow_mut().apply(source, update),
             None => update,
         };
+        self.apply_merged(Origin::Source(source), update, saved);
+    }
+
+    /// Applies an update of the merged list.
+    fn apply_merged(&self, origin: Origin, update: Update, saved: bool) {
         let whole = update.is_full;
-        let last_seen = self.list_last_seen.of(source);
+        let last_seen = self.list_last_seen.of(origin);
         let times = UpdateTimes {
             clock: &self.clock,
             before: last_seen.get(),
@@ -184,7 +203,7 @@
         self.update_core(|core, now| {
             if whole {
                 core.handle_list(now, entries, saved);
-            } else if source == Source::Discovery {
+            } else if origin == Origin::Source(Source::Discovery) {
                 core.list_changed(now, entries);
             } else {
                 core.list_changed_elsewhere(now, entries);
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -27,6 +27,31 @@
     mixed ^ (mixed >> 32)
 }
 
+/// Where a server stands, as numbers that are the same on all nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Location {
+    /// The number of its zone.
+    pub zone: u64,
+    /// The number of its cell.
+    pub cell: u64,
+}
+
+impl Location {
+    /// The location of a server of which nothing is known: a zone and a cell of its own, so that no other
+    /// server counts as one that drops the repeats of its requests.
+    pub fn unknown(server: ServerId) -> Self {
+        Self { zone: server.0, cell: server.0 }
+    }
+
+    fn of(server: ServerId, host: &ListEntry) -> Self {
+        let unknown = Self::unknown(server);
+        Self {
+            zone: if host.zone.is_empty() { unknown.zone } else { number_of(&host.zone) },
+            cell: host.cell.unwrap_or(unknown.cell),
+        }
+    }
+}
+
 /// The address of one incarnation of a server: connections to another incarnation are of no use.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServerAddress {
@@ -48,8 +73,7 @@
 struct KnownServer {
     name: String,
     server_address: ServerAddress,
-    /// Its zone and its cell, as the numbers that the core gets.
-    location: (u64, u64),
+    location: Location,
     state: Listed,
     /// When it last answered, if it has not failed since.
     answered: Option<Millis>,
@@ -95,9 +119,9 @@
         self.known.get(&server).filter(|h| h.state == Listed::Up).map(|h| h.server_address)
     }
 
-    /// The zone and the cell of a server, if it is known.
-    pub fn zone_and_cell(&self, server: ServerId) -> Option<(u64, u64)> {
-        self.known.get(&server).map(|known| known.location)
+    /// Where a server stands.
+    pub fn location(&self, server: ServerId) -> Location {
+        self.known.get(&server).map_or(Location::unknown(server), |known| known.location)
     }
 
     /// A server's name, if it is known.
@@ -178,17 +202,17 @@
             // Its connections ended with the old incarnation.
             stale.push(server);
         }
+        let location = Location::of(server, &host);
         if let Some(dial) = dial {
             let server_address = ServerAddress { endpoint: dial, started_ms: host.started_ms };
             let answered = before.filter(|b| b.server_address == server_address).and_then(|b| b.answered);
-            let location = (number_of(&host.zone), host.cell);
             self.known
                 .insert(server, KnownServer { name: host.host, server_address, location, state, answered });
         }
         Some(Entry {
             server,
-            zone: number_of(&host.zone),
-            cell: host.cell,
+            zone: location.zone,
+            cell: location.cell,
             kind: number_of(&host.kind),
             state,
             weight: host.weight,
--- a/crates/scale/src/deployment.rs
+++ b/crates/scale/src/deployment.rs
@@ -47,7 +47,7 @@
         }),
         zone: format!("zone-{}", index % ZONES),
         kind: format!("m{}", index % 3),
-        cell: (index % 40) as u64,
+        cell: Some((index % 40) as u64),
         health: Health::Active,
         weight: 1.0,
         started_ms: 0.0,
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -146,10 +146,13 @@
             }) as u64
         };
         let (zone, kind) = (name_id(at(1)), name_id(at(2)));
+        let server = ServerId(integer(at(0), "Server")?);
+        // A server whose cell is unknown shares its memory of keys with no other.
+        let cell = if at(3).is_null() { u64::MAX - server.0 } else { integer(at(3), "Cluster")? };
         Ok(Entry {
-            server: ServerId(integer(at(0), "Server")?),
+            server,
             zone,
-            cell: if at(3).is_null() { 0 } else { integer(at(3), "Cluster")? },
+            cell,
             kind,
             state: match text(at(4), "Condition")? {
                 "on" => Listed::Up,
--- a/crates/testkit/src/coordination/register.rs
+++ b/crates/testkit/src/coordination/register.rs
@@ -34,7 +34,7 @@
     };
     let dial = Endpoint { address: server.address, protocol };
     ListEntry {
-        cell: server.identity.cell,
+        cell: Some(server.identity.cell),
         started_ms: start_time_ms,
         ..ListEntry::active(&server.identity.name, dial)
     }
