A class of the configuration keeps the scope and the late worth of the file's class

Reason: a version that changed the keyed class submit-test let its repeats go to all servers, so they ran in two cells.

Change: what the resource does not say comes from the file's class of the same name, also after SIGHUP. Without one the scope is the cell, as in a file without `DedupScope`.

--- a/crates/glenctl/tests/configuration.rs
+++ b/crates/glenctl/tests/configuration.rs
@@ -319,6 +319,18 @@
     assert_repeats_stay_in_their_cell(&cluster, "after");
 }
 
+/// Guards against keyed requests that run in two cells after a version has changed their class, whose scope it
+/// does not know.
+#[test]
+fn a_version_that_changes_a_keyed_class_leaves_its_scope() {
+    let cluster = cluster_with_two_cells("scope");
+    let class = json!({"name": "pay", "owner": "ops", "body": {"class": {
+        "aim_ms": 2000.0, "deadline_ms": 15000.0, "worth": 3.0, "effect": {"keyed": {"memory_ms": 60000.0}}}}});
+    let version = cluster.push_accepted(&json!([{"put": class}]));
+    cluster.wait_until_in_force(&version);
+    assert_repeats_stay_in_their_cell(&cluster, "after");
+}
+
 #[test]
 fn a_bad_change_is_rejected_with_a_reason_and_makes_no_version() {
     let cluster = Cluster::new(1, "bad");
--- a/crates/node/src/configuration/offer.rs
+++ b/crates/node/src/configuration/offer.rs
@@ -30,16 +30,23 @@
     pub base: Base,
 }
 
-fn class_of(class: &resource::Class) -> Class {
+/// The class of a resource. What the resource does not say comes from the file's class of the same name, if
+/// there is one.
+fn class_of(class: &resource::Class, of_file: Option<&Class>) -> Class {
+    let group = match of_file.map(|class| class.effect) {
+        Some(Effect::Keyed { group, .. }) => group,
+        // As in a file without a scope, the narrowest group is the safe choice.
+        Some(Effect::Safe | Effect::Unsafe) | None => Group::Cell,
+    };
     let effect = match class.effect {
         ResourceEffect::Safe => Effect::Safe,
-        ResourceEffect::Keyed { memory_ms } => Effect::Keyed { group: Group::All, memory: memory_ms },
+        ResourceEffect::Keyed { memory_ms } => Effect::Keyed { group, memory: memory_ms },
         ResourceEffect::Unsafe => Effect::Unsafe,
     };
     Class {
         target_latency: class.aim_ms,
         worth: class.worth,
-        late_worth: 0.0,
+        late_worth: of_file.map_or(0.0, |class| class.late_worth),
         client_timeout: class.deadline_ms,
         effect,
     }
@@ -98,7 +105,8 @@
                     if let Some(slot) = hub.class(name).filter(|_| before.is_none()) {
                         base.classes.insert(name.clone(), settings.policy.classes[slot.number].clone());
                     }
-                    prepared.settings.classes.push((name.clone(), Some(class_of(class))));
+                    let class = class_of(class, base.classes.get(name));
+                    prepared.settings.classes.push((name.clone(), Some(class)));
                 }
                 (None, Kind::Class) => {
                     prepared.settings.classes.push((name.clone(), base.classes.remove(name)));
@@ -148,10 +156,13 @@
                 }
             }
             Body::Class(class) => match classes.get(&key.name) {
-                Some(index) => settings.policy.classes[*index] = class_of(class),
+                Some(index) => {
+                    let of_file = &settings.policy.classes[*index];
+                    settings.policy.classes[*index] = class_of(class, Some(of_file));
+                }
                 None => {
                     settings.classes.push(key.name.clone());
-                    settings.policy.classes.push(class_of(class));
+                    settings.policy.classes.push(class_of(class, None));
                 }
             },
             Body::Service(_) | Body::Server(_) => {}
