An early response is held only right behind the response before it

Change: only a response that begins within 25 ms of the one before it, or of the connection, can be a second answer "some milliseconds late"; it is the span that connections rest in doubt. Responses without work (health checks, refusals, failures) have one shortest time and served ones another; a health check is not compared with work.

--- a/crates/exchange/src/doubt.rs
+++ b/crates/exchange/src/doubt.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::connection::{ConnectionPhase, RequiredIdle, UnsolicitedBytes};
+use crate::response_time::MAX_SECOND_RESPONSE_DELAY;
 
 /// How long a server is distrusted after its last unsolicited bytes.
 const DOUBT_DURATION: Duration = Duration::from_secs(10);
@@ -19,7 +20,7 @@
 const IDLE_LIMITS_NEW: (Duration, Duration) = (Duration::from_millis(12), Duration::from_millis(60));
 /// Idle time between two uses of a connection: the minimum, which applies during probation and to distrusted
 /// servers, and the maximum.
-const IDLE_LIMITS_USED: (Duration, Duration) = (Duration::from_millis(25), Duration::from_millis(350));
+const IDLE_LIMITS_USED: (Duration, Duration) = (MAX_SECOND_RESPONSE_DELAY, Duration::from_millis(350));
 /// Accepted probability that bytes arrive later than the idle time derived from the observed delays.
 const LATER_PROBABILITY: f64 = 0.01;
 /// Number of servers with unsolicited bytes from which all servers are distrusted.
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -19,4 +19,4 @@
     Verdict,
 };
 pub use doubt::{DistrustTracker, Scope};
-pub use response_time::{ResponseKind, ResponseTimes};
+pub use response_time::{ResponseKind, ResponseTimes, ResponseTiming};
--- a/crates/exchange/src/response_time.rs
+++ b/crates/exchange/src/response_time.rs
@@ -1,8 +1,8 @@
 //! Response times of servers, and what they say about a response that begins unusually soon.
 //!
 //! A response can't arrive sooner than the path to the server and back takes. One that begins well before the
-//! shortest time in which the server has answered so far was most likely not caused by the request written
-//! last, but is a late response to an earlier one.
+//! shortest time in which the server has answered so far, and soon after the response before it, was most
+//! likely not caused by the request written last, but is a late second response to an earlier one.
 
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -16,6 +16,8 @@
 const MIN_RESPONSES: u32 = 8;
 /// Share of the shortest observed time below which a response is implausibly early.
 const PLAUSIBLE_SHARE: f64 = 0.75;
+/// How long after a response a second one to the same request may arrive.
+pub(crate) const MAX_SECOND_RESPONSE_DELAY: Duration = Duration::from_millis(25);
 /// Weights of a new sample in the smoothed response time and in its variation, and how many variations a
 /// response may take longer than usual (RFC 6298).
 const SMOOTHING: f64 = 1.0 / 8.0;
@@ -35,8 +37,21 @@
     Failed,
 }
 
-/// Number of kinds of responses.
-const KINDS: usize = 4;
+impl ResponseKind {
+    /// Whether the server may respond without any work, so that the path alone bounds the time.
+    fn is_immediate(self) -> bool {
+        self != Self::Served
+    }
+}
+
+/// When a response began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ResponseTiming {
+    /// Time since the last byte of its request.
+    pub after_request: Duration,
+    /// Time since the response before it, or since the connection was established.
+    pub after_previous: Duration,
+}
 
 impl From<ResponseMeaning> for ResponseKind {
     fn from(meaning: ResponseMeaning) -> Self {
@@ -99,20 +114,58 @@
     }
 }
 
+/// The shortest response times within a span.
+#[derive(Clone, Copy, Debug, Default)]
+struct ShortestTimes {
+    /// Of responses without work.
+    immediate: Minimum,
+    /// Of requests that were carried out.
+    served: Minimum,
+}
+
+impl ShortestTimes {
+    fn add(&mut self, kind: ResponseKind, sample: Duration) {
+        let minimum = if kind.is_immediate() { &mut self.immediate } else { &mut self.served };
+        minimum.add(sample);
+    }
+
+    fn merge(self, other: Self) -> Self {
+        Self { immediate: self.immediate.merge(other.immediate), served: self.served.merge(other.served) }
+    }
+
+    /// The time that a response of a kind takes at least; `None` if too little is known.
+    fn bound(self, kind: ResponseKind) -> Option<Duration> {
+        match kind {
+            ResponseKind::Served => self.served.bound().or(self.immediate.bound()),
+            ResponseKind::HealthCheck => self.immediate.bound(),
+            // While the server was not seen to refuse or to fail anything, the time of work is the only
+            // evidence.
+            ResponseKind::Unprocessed | ResponseKind::Failed => {
+                self.immediate.bound().or(self.served.bound())
+            }
+        }
+    }
+}
+
 /// The response times of one server.
 #[derive(Clone, Copy, Debug)]
 struct ServerTimes {
     /// When the current span of observations began.
     span_start: Instant,
-    previous: [Minimum; KINDS],
-    current: [Minimum; KINDS],
+    previous: ShortestTimes,
+    current: ShortestTimes,
     /// The usual time of requests that were carried out.
     usual: Option<SmoothedTime>,
 }
 
 impl ServerTimes {
     fn new(now: Instant) -> Self {
-        Self { span_start: now, previous: Default::default(), current: Default::default(), usual: None }
+        Self {
+            span_start: now,
+            previous: ShortestTimes::default(),
+            current: ShortestTimes::default(),
+            usual: None,
+        }
     }
 
     /// Begins a new span of observations if the current one is over.
@@ -122,19 +175,9 @@
             return;
         }
         let last = std::mem::take(&mut self.current);
-        self.previous = if elapsed < 2 * OBSERVATION_SPAN { last } else { Default::default() };
+        self.previous = if elapsed < 2 * OBSERVATION_SPAN { last } else { ShortestTimes::default() };
         self.span_start = now;
     }
-
-    fn shortest(&self, kind: ResponseKind) -> Minimum {
-        self.current[kind as usize].merge(self.previous[kind as usize])
-    }
-
-    /// The shortest time of any response: an upper bound of what the path alone takes.
-    fn shortest_of_all(&self) -> Minimum {
-        let all = self.current.iter().chain(&self.previous);
-        all.fold(Minimum::default(), |shortest, minimum| shortest.merge(*minimum))
-    }
 }
 
 /// The response times of all servers. `K` identifies a server.
@@ -155,7 +198,7 @@
     pub fn record(&mut self, now: Instant, server: K, kind: ResponseKind, elapsed: Duration) {
         let times = self.servers.entry(server).or_insert_with(|| ServerTimes::new(now));
         times.advance(now);
-        times.current[kind as usize].add(elapsed);
+        times.current.add(kind, elapsed);
         if kind != ResponseKind::Served {
             return;
         }
@@ -165,12 +208,20 @@
         }
     }
 
-    /// If a response of this kind after `elapsed` is implausibly early, returns the time after its request
-    /// within which the true response would arrive.
-    pub fn true_response_within(&self, server: K, kind: ResponseKind, elapsed: Duration) -> Option<Duration> {
+    /// If a response of this kind is implausibly early, returns the time after its request within which the
+    /// true response would arrive.
+    pub fn true_response_within(
+        &self,
+        server: K,
+        kind: ResponseKind,
+        timing: ResponseTiming,
+    ) -> Option<Duration> {
+        if timing.after_previous > MAX_SECOND_RESPONSE_DELAY {
+            return None;
+        }
         let times = self.servers.get(&server)?;
-        let shortest = times.shortest(kind).bound().or_else(|| times.shortest_of_all().bound())?;
-        let is_early = elapsed < shortest.mul_f64(PLAUSIBLE_SHARE);
+        let shortest = times.current.merge(times.previous).bound(kind)?;
+        let is_early = timing.after_request < shortest.mul_f64(PLAUSIBLE_SHARE);
         times.usual.filter(|_| is_early).map(SmoothedTime::upper_bound)
     }
 
--- a/crates/exchange/tests/response_time.rs
+++ b/crates/exchange/tests/response_time.rs
@@ -2,11 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use glenwood_exchange::{ResponseKind, ResponseTimes};
+use glenwood_exchange::{ResponseKind, ResponseTimes, ResponseTiming};
 use proptest::prelude::*;
 
 const MS: Duration = Duration::from_millis(1);
 const SERVER: u8 = 0;
+/// Soon enough after the response before it for a second response to the same request.
+const SOON: Duration = Duration::from_millis(10);
 /// Enough responses for a bound.
 const ENOUGH: u32 = 8;
 
@@ -19,12 +21,16 @@
     (times, start)
 }
 
+fn after(after_request: Duration) -> ResponseTiming {
+    ResponseTiming { after_request, after_previous: SOON }
+}
+
 /// Guards against responses that are doubted on little evidence.
 #[test]
 fn few_responses_make_no_bound() {
     let (times, _) = with_responses(ResponseKind::Served, ENOUGH - 1);
-    assert_eq!(times.true_response_within(SERVER, ResponseKind::Served, MS), None);
-    assert_eq!(times.true_response_within(1, ResponseKind::Served, MS), None, "an unknown server");
+    assert_eq!(times.true_response_within(SERVER, ResponseKind::Served, after(MS)), None);
+    assert_eq!(times.true_response_within(1, ResponseKind::Served, after(MS)), None, "an unknown server");
 }
 
 /// Guards against a late response to an earlier request that is taken for the answer to the next one.
@@ -32,10 +38,10 @@
 fn a_response_well_before_the_shortest_time_is_early() {
     let (times, _) = with_responses(ResponseKind::Served, ENOUGH);
     for ms in 0..33 {
-        let within = times.true_response_within(SERVER, ResponseKind::Served, ms * MS);
+        let within = times.true_response_within(SERVER, ResponseKind::Served, after(ms * MS));
         assert!(within.is_some_and(|within| within >= 65 * MS), "{ms} ms: {within:?}");
     }
-    assert_eq!(times.true_response_within(SERVER, ResponseKind::Served, 34 * MS), None);
+    assert_eq!(times.true_response_within(SERVER, ResponseKind::Served, after(34 * MS)), None);
 }
 
 /// Guards against true refusals, which are quicker than work, being doubted, and against those of earlier
@@ -44,7 +50,7 @@
 fn a_refusal_is_compared_with_refusals_once_some_are_known() {
     let (mut times, now) = with_responses(ResponseKind::Served, ENOUGH);
     let early = |times: &ResponseTimes<u8>, ms: u32| {
-        times.true_response_within(SERVER, ResponseKind::Unprocessed, ms * MS).is_some()
+        times.true_response_within(SERVER, ResponseKind::Unprocessed, after(ms * MS)).is_some()
     };
     assert!(early(&times, 20));
     (0..ENOUGH).for_each(|_| times.record(now, SERVER, ResponseKind::Unprocessed, 21 * MS));
@@ -52,12 +58,31 @@
     assert!(early(&times, 10));
 }
 
+/// Guards against health checks, which are quicker than work, that are held back because they are.
+#[test]
+fn a_health_check_is_not_compared_with_work() {
+    let (times, _) = with_responses(ResponseKind::Served, ENOUGH);
+    assert_eq!(times.true_response_within(SERVER, ResponseKind::HealthCheck, after(MS)), None);
+}
+
+/// Guards against answers that are held back although no second response comes that late.
+#[test]
+fn a_response_long_after_the_one_before_it_is_not_early() {
+    let (times, _) = with_responses(ResponseKind::Served, ENOUGH);
+    let early = |ms: u32| {
+        let timing = ResponseTiming { after_request: MS, after_previous: ms * MS };
+        times.true_response_within(SERVER, ResponseKind::Served, timing).is_some()
+    };
+    assert!(early(10) && early(25));
+    assert!(!early(26));
+}
+
 /// Guards against a bound that stays although the server has become quicker, or the path slower.
 #[test]
 fn the_bound_follows_the_server() {
     let (mut times, start) = with_responses(ResponseKind::Served, ENOUGH);
     let early = |times: &ResponseTimes<u8>, ms: u32| {
-        times.true_response_within(SERVER, ResponseKind::Served, ms * MS).is_some()
+        times.true_response_within(SERVER, ResponseKind::Served, after(ms * MS)).is_some()
     };
     times.record(start + 100 * MS, SERVER, ResponseKind::Served, 10 * MS);
     assert!(!early(&times, 8), "it has become quicker");
@@ -73,7 +98,7 @@
 fn another_process_has_no_bound() {
     let (mut times, _) = with_responses(ResponseKind::Served, ENOUGH);
     times.forget(SERVER);
-    assert_eq!(times.true_response_within(SERVER, ResponseKind::Served, MS), None);
+    assert_eq!(times.true_response_within(SERVER, ResponseKind::Served, after(MS)), None);
 }
 
 proptest! {
@@ -86,7 +111,7 @@
         for (number, delay) in (0u32..).zip(&delays) {
             times.record(start + number * MS, SERVER, ResponseKind::Served, *delay * MS);
             for earlier in &delays[..=number as usize] {
-                let within = times.true_response_within(SERVER, ResponseKind::Served, *earlier * MS);
+                let within = times.true_response_within(SERVER, ResponseKind::Served, after(*earlier * MS));
                 prop_assert_eq!(within, None);
             }
         }
--- a/crates/node/src/backend/http1/early.rs
+++ b/crates/node/src/backend/http1/early.rs
@@ -4,7 +4,7 @@
 use std::future::poll_fn;
 use std::time::Instant;
 
-use glenwood_exchange::ResponseKind;
+use glenwood_exchange::{ResponseKind, ResponseTiming};
 use glenwood_policy::ServerId;
 use tokio::time::timeout_at;
 
@@ -34,14 +34,22 @@
     pub deadline: Instant,
 }
 
+/// When the answer on a connection began; `None` if that was before the end of its request.
+fn timing_of(link: &Link) -> Option<ResponseTiming> {
+    let after_request = link.sock.answer_delay()?;
+    let began = link.sock.answer_began_at()?;
+    let after_previous = began.saturating_duration_since(link.exchange.idle_since());
+    Some(ResponseTiming { after_request, after_previous })
+}
+
 /// Determines what follows an answer that began implausibly early. Waits until the true answer is due, but
 /// for no more than half of the time that is left.
 pub async fn sequel(exchanged: Exchanged<'_>, link: &Link, received: &ReceivedAnswer) -> Sequel {
     let Exchanged { hub, pool, server, kind, deadline } = exchanged;
     let sock = &link.sock;
-    let Some(delay) = sock.answer_delay() else { return Sequel::Nothing };
-    let Some(within) = pool.true_answer_within(server, kind, delay) else { return Sequel::Nothing };
-    hub.report_early_answer(server, delay, within);
+    let Some(timing) = timing_of(link) else { return Sequel::Nothing };
+    let Some(within) = pool.true_answer_within(server, kind, timing) else { return Sequel::Nothing };
+    hub.report_early_answer(server, timing.after_request, within);
     if received.ends_connection() {
         return Sequel::Nothing;
     }
--- a/crates/node/src/backend/http1/pool.rs
+++ b/crates/node/src/backend/http1/pool.rs
@@ -9,7 +9,8 @@
 use std::time::{Duration, Instant};
 
 use glenwood_exchange::{
-    Connection as Exchange, DistrustTracker, RequiredIdle, ResponseKind, ResponseTimes, UnsolicitedBytes,
+    Connection as Exchange, DistrustTracker, RequiredIdle, ResponseKind, ResponseTimes, ResponseTiming,
+    UnsolicitedBytes,
 };
 use glenwood_policy::{Outcome, ServerId};
 use glenwood_settings::NodeSettings;
@@ -173,15 +174,15 @@
         }
     }
 
-    /// If an answer after `delay` is implausibly early, returns the time after its request within which the
-    /// true answer would arrive.
+    /// If an answer is implausibly early, returns the time after its request within which the true answer
+    /// would arrive.
     pub fn true_answer_within(
         &self,
         server: ServerId,
         kind: ResponseKind,
-        delay: Duration,
+        timing: ResponseTiming,
     ) -> Option<Duration> {
-        self.response_times.borrow().true_response_within(server, kind, delay)
+        self.response_times.borrow().true_response_within(server, kind, timing)
     }
 
     /// How long connections to a server must be silent before an answer on them is trusted.
