With custody no attempt begins for a client that has gone

Cause: custody keeps the clients, so the core learns of their leaving from it alone, and `on_waiters_changed` told it only where nothing had been sent: the attempt in flight is to end for its verdict. There was no state for that; so the core went on as if somebody waited. Ruled out: the intent that is written before an attempt (it is asked for by the core's attempt), the front (it told custody at the close). Without custody `ClientGone` ends the request, and nothing is repeated.

Change: `Event::ClientDetached`: what was not written is recalled, no further attempt, copy or wait begins, and the result of what is out is given as any other, so that the keepers have the verdict; `Event::ClientAttached`: a client that comes back for the same work, or is merged into it, has it repeated again. The decision stays with the one module (`Request::may_repeat`). Also where the last client of an adopted work leaves. New word in `explain`: ClientLeft.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -380,6 +380,24 @@
         self.remove_if_finished(request);
     }
 
+    /// The last client has disconnected, but the result of what has been sent is still wanted: whatever has
+    /// not been sent is dropped, no further attempt begins, and the final answer follows as for any other
+    /// request.
+    pub fn client_detached(&mut self, now: Millis, request: RequestId) {
+        if !self.requests.contains_key(&request) {
+            return;
+        }
+        self.recall_pending(request);
+        self.feed(now, Event::ClientDetached(request));
+    }
+
+    /// A client waits again for a request whose last client had disconnected.
+    pub fn client_attached(&mut self, now: Millis, request: RequestId) {
+        if self.requests.contains_key(&request) {
+            self.feed(now, Event::ClientAttached(request));
+        }
+    }
+
     // ---- Backend interface ----
 
     /// Returns the server of an attempt and when the attempt was sent, while its end is awaited.
--- a/crates/node/src/custody/mod.rs
+++ b/crates/node/src/custody/mod.rs
@@ -569,6 +569,8 @@
             let until = now + (left - GUARD_MARGIN).max(left / 2.0) as u64;
             local.waiting.push(WaitingClient { number, waiter, until });
         }
+        let request = self.local_works.borrow().get(&ticket).and_then(|local| local.request);
+        request.into_iter().for_each(|request| self.hub.client_attached(request));
         self.pump_and_notify();
         Ok(number)
     }
--- a/crates/node/src/custody/waiters.rs
+++ b/crates/node/src/custody/waiters.rs
@@ -34,12 +34,15 @@
     pub(super) fn merge_waiters(&self, ticket: Ticket, other: Ticket) {
         let Some(local) = self.local_works.borrow_mut().remove(&ticket) else { return };
         let mut all = self.local_works.borrow_mut();
+        let request = all.get(&other).and_then(|to| to.request);
         match all.get_mut(&other) {
             Some(to) => {
                 for waiting in &local.waiting {
                     self.numbers.borrow_mut().insert(waiting.number, other);
                 }
                 to.waiting.extend(local.waiting);
+                drop(all);
+                request.into_iter().for_each(|request| self.hub.client_attached(request));
             }
             None => {
                 drop(all);
@@ -51,9 +54,9 @@
         }
     }
 
-    /// Gives up a work if no client waits for it any more. A work held by another node is no longer polled;
-    /// what this node has sent goes on. What it has not sent would be sent for nobody: it is released, so
-    /// that the next request for it can hold it.
+    /// Gives up a work if no client waits for it any more. A work held by another node is no longer polled. What
+    /// this node has sent goes on, for its verdict, but is not sent again. What it has not sent would be sent
+    /// for nobody: it is released, so that the next request for it can hold it.
     pub(super) fn on_waiters_changed(&self, ticket: Ticket) {
         let (request, adopted) = match self.local_works.borrow().get(&ticket).filter(|h| h.waiting.is_empty())
         {
@@ -68,10 +71,11 @@
                 self.release_work(ticket);
                 self.drop_local(ticket);
             }
+            Some(request) => self.hub.client_detached(request),
             None if !self.coordinator.borrow().is_holder(ticket) => {
                 self.coordinator.borrow_mut().abandon(self.now(), ticket);
             }
-            _ => {}
+            None => {}
         }
         self.pump_and_notify();
     }
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -515,6 +515,17 @@
         self.update_core(|core, now| core.client_disconnected(now, id));
     }
 
+    /// The last client of a request left, but the result of what was sent is still wanted: no further attempt
+    /// begins.
+    pub fn client_detached(&self, id: RequestId) {
+        self.update_core(|core, now| core.client_detached(now, id));
+    }
+
+    /// A client waits again for a request whose last client had left.
+    pub fn client_attached(&self, id: RequestId) {
+        self.update_core(|core, now| core.client_attached(now, id));
+    }
+
     /// The number of requests that await their final answer.
     pub fn awaiting(&self) -> usize {
         self.core.borrow().awaiting_count() + self.gate.get().map_or(0, |gate| gate.awaiting())
--- a/crates/node/tests/custody.rs
+++ b/crates/node/tests/custody.rs
@@ -194,6 +194,40 @@
     }
 }
 
+/// Guards against an attempt that begins for a client that has gone: the client of a work leaves while its
+/// attempt is out, and then the attempt's connection breaks.
+#[test]
+fn a_work_whose_client_left_while_it_was_out_is_not_sent_again() {
+    let first_server: Arc<Mutex<Option<String>>> = Arc::default();
+    let seen_at = first_server.clone();
+    let script: Script = Arc::new(move |seen| {
+        if !seen.txn.starts_with("left") {
+            return Step::Serve;
+        }
+        let mut first = seen_at.lock().unwrap_or_else(PoisonError::into_inner);
+        first.get_or_insert(seen.server.clone());
+        Step::Hold
+    });
+    let rig = start_rig(plan(6, 4, 6, script), 6);
+    let first = send_request(&rig, 0, pay("w", "left", false));
+    until("it is at a server", || rig.ledger.count_of("left").attempts == 1);
+    until("its node holds the work", || rig.metric(0, "custody_mine") == Some(1));
+    first.abort();
+    until("its node sees that the client left", || count_sockets(Some(rig.address(0)), None) == 0);
+    let server = first_server.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    let server = server.and_then(|name| name.strip_prefix('s')?.parse().ok()).expect("a server's number");
+    for (from, to) in [(End::Server(server), End::Node(0)), (End::Node(0), End::Server(server))] {
+        let (from, to) = (vec![from], vec![to]);
+        rig.net.impair(LinkImpairment { from, to, impairment: Impairment::Reset });
+    }
+    until("the node holds no work", || rig.metric(0, "custody_mine") == Some(0));
+    assert_eq!(rig.ledger.count_of("left").attempts, 1, "it was sent for a client that had gone");
+    // The next request for the work is served.
+    let again = wait_answer(send_request(&rig, 1, pay("w", "next", true)));
+    assert!(matches!(again, Answer::Served(_)), "{again:?}");
+    assert_eq!(rig.ledger.runs_of_key("key-w"), 1);
+}
+
 #[test]
 fn a_repeat_joins_the_work_while_its_holder_lives() {
     let rig = start_rig(plan(6, 4, 6, serve_after(500)), 6);
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -457,6 +457,11 @@
     },
     /// The client disconnected and needs no answer any more.
     ClientGone(RequestId),
+    /// No client waits for the request any more, but the result of its attempts in flight is still wanted: no
+    /// further attempt is made.
+    ClientDetached(RequestId),
+    /// A client waits again for a request without one.
+    ClientAttached(RequestId),
     /// The timer that was set is due.
     Timer,
 }
@@ -498,6 +503,8 @@
     MayHaveRun,
     /// Its attempts have failed, and a retry would exceed the retry budget.
     NoRetryBudget,
+    /// No client waits for it any more.
+    ClientLeft,
 }
 
 /// Output of the decision module.
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -249,6 +249,8 @@
     deadline: Millis,
     attempts: Vec<Attempt>,
     bound: Bound,
+    /// No client waits for it; its attempts in flight go on for their result.
+    is_detached: bool,
 }
 
 /// Why a request can have no other attempt: its body has been sent and can't be sent again, or its answer
@@ -335,7 +337,8 @@
     fn may_repeat(&self, limits: &Limits, now: Millis, to: Option<&Entry>) -> bool {
         let mut ran = self.attempts.iter().filter(|a| !a.outcome.is_some_and(Outcome::never_ran));
         if to.is_some() {
-            let bound = self.bound != Bound::Free || self.attempts.len() >= limits.attempts;
+            let bound =
+                self.is_detached || self.bound != Bound::Free || self.attempts.len() >= limits.attempts;
             if bound || (self.has_pending() && !limits.second_copies) {
                 return false;
             }
@@ -465,6 +468,10 @@
                 self.remember_unserved(id);
                 self.forget(id, actions);
             }
+            Event::ClientDetached(id) => self.on_client_detached(id, actions),
+            Event::ClientAttached(id) => {
+                self.requests.get_mut(&id).into_iter().for_each(|request| request.is_detached = false);
+            }
             Event::DiscoveryMoved | Event::Timer => {}
         }
         self.follow_list();
@@ -685,6 +692,7 @@
             deadline,
             attempts,
             bound,
+            is_detached: false,
         };
         self.requests.insert(id, request);
         if original.is_none() {
@@ -835,6 +843,16 @@
         request.cancel_except(id, Some(attempt), &self.config.limits, actions);
     }
 
+    /// No client waits for the request any more: it has no further attempt, and ends with those in flight.
+    fn on_client_detached(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.is_detached = true;
+        if !request.has_pending() && request.bound != Bound::Answer {
+            self.waiting.retain(|waiting| *waiting != id);
+            self.conclude(id, Reason::ClientLeft, actions);
+        }
+    }
+
     /// Removes an attempt from its server's attempts in flight.
     fn release(&mut self, server: ServerId, id: RequestId, attempt: usize) {
         let out = self.servers.get_mut(&server).into_iter().map(|s| &mut s.in_flight);
@@ -958,7 +976,9 @@
         let is_bound = matches!(request.effect, Effect::Keyed { group: Group::Zone | Group::Cell, .. });
         // Unless the request is bound to a zone or cell, all servers are equivalent.
         let may = self.by_turn().take(if is_bound { usize::MAX } else { 1 }).any(may_send_to);
-        let reason = if !time {
+        let reason = if request.is_detached {
+            Reason::ClientLeft
+        } else if !time {
             Reason::NoTime
         } else if !may {
             Reason::MayHaveRun
