After an outage of discovery a small fleet asks in time, and waits for its answer

Cause: two bounds that together exceed the promise. Refused connections grew the backoff to 0.4 of the time for asking, 4 s, and a failure after the return drew from it again; and a call was given up after 3.4 s although the service lets one wait for 3 s and then works on it, so that the service had worked for nobody.

Change: a call that fails within 1.5 s has not waited at the service and costs it nothing: the next begins within 0.4 s, or spread by the size of the fleet as before, and such failures no longer count for the backoff. 0.4 s, a call that fails after 3 s, 0.4 s and the rest of a round of 5.6 s fit into the 6 s. A call to a service for all nodes may take 3.4 s and one node's part of 6 s, the time within which all calls have to fit (4 nodes: 4.9 s, 300: 3.42 s); at an agent 3.4 s as before. From 54 nodes on the spread is that of before.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use glenwood_list::lines::{self, Message, MessageReader, StreamError};
-use glenwood_policy::{ListFailure, Millis};
+use glenwood_policy::{Discovery, ListFailure, Millis, Settings};
 use glenwood_trace::TraceEvent;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
@@ -25,15 +25,30 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// How long to wait after a connect that failed on this machine.
 const CONNECT_RETRY_DELAY: Duration = Duration::from_millis(10);
-/// How long a call may wait in the service's queue until its answer is complete, or until a watch sends its
-/// first message. The service itself fails calls after 3 s. With no answer at all there must be time for
-/// another call before a change counts as notified, 4 s after a reload.
-const FIRST_MESSAGE_TIMEOUT: Duration = Duration::from_millis(3400);
+/// How long a call may wait in the service's queue: the service itself fails calls after 3 s. With no answer at
+/// all there must be time for another call before a change counts as notified, 4 s after a reload.
+const QUEUE_TIMEOUT: Duration = Duration::from_millis(3400);
+/// A change counts as notified this long after the service had it and could be reached.
+const NOTIFIED_WITHIN: Duration = Duration::from_millis(6000);
+/// The smallest number of nodes that the time of one call is derived from.
+const MIN_NODES: usize = 4;
 /// A watch sends a message every 2 s: a longer silence means a dead link, which TCP alone would not notice.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(3200);
 /// A change that a silent watch misses counts as notified 6 s later, however many nodes there are. This is
 /// what remains of that time for a new call, less a second for its answer.
-const RENEWED_CALL_BUDGET_MS: Millis = 6000.0 - 1000.0 - SILENCE_TIMEOUT.as_millis() as Millis;
+const RENEWED_CALL_BUDGET_MS: Millis =
+    NOTIFIED_WITHIN.as_millis() as Millis - 1000.0 - SILENCE_TIMEOUT.as_millis() as Millis;
+
+/// How long a call may take until its answer is complete, or until a watch sends its first message. A service
+/// for all nodes works through their calls in turn, and all of them have to fit in before changes count as
+/// notified: so that is how long it may work on a call after its time in the queue. An agent that pushes the
+/// list answers at once.
+fn first_message_timeout(settings: &Settings) -> Duration {
+    match settings.discovery {
+        Discovery::Pushed => QUEUE_TIMEOUT,
+        Discovery::Asked => QUEUE_TIMEOUT + NOTIFIED_WITHIN / settings.nodes.max(MIN_NODES) as u32,
+    }
+}
 
 /// Why a call ended.
 enum Ended {
@@ -97,7 +112,7 @@
         None => fetch_list(hub, service).await?,
     };
     hub.trace(|_| TraceEvent::DiscoveryRequest { from: Some(version) });
-    let mut body = call(service, &format!("/v1/endpoints?watch=1&from={version}")).await?;
+    let mut body = call(hub, service, &format!("/v1/endpoints?watch=1&from={version}")).await?;
     hub.discovery_answering();
     let mut lines = MessageReader::default();
     let (mut due, mut answered) = (body.due, false);
@@ -143,7 +158,7 @@
 /// Requests the complete list once.
 async fn fetch_list(hub: &Rc<Hub>, service: SocketAddr) -> Result<u64, Ended> {
     hub.trace(|_| TraceEvent::DiscoveryRequest { from: None });
-    let mut body = call(service, "/v1/endpoints").await?;
+    let mut body = call(hub, service, "/v1/endpoints").await?;
     hub.discovery_answering();
     let mut text = Vec::new();
     loop {
@@ -195,7 +210,7 @@
     }
 }
 
-async fn call(to: SocketAddr, path: &str) -> Result<Call, Ended> {
+async fn call(hub: &Hub, to: SocketAddr, path: &str) -> Result<Call, Ended> {
     let unanswered = |reason: &str| Ended::Unanswered(reason.to_string());
     let stream = timeout(CONNECT_TIMEOUT, connect(to)).await.map_err(|_| unanswered("no connection"))?;
     let sock = stream.and_then(TrackedSocket::new).map_err(|e| unanswered(&e.to_string()))?;
@@ -206,7 +221,7 @@
     });
     let request = Request::get(path).header("host", to.to_string()).body(Empty::<Bytes>::new());
     let request = request.map_err(|e| unanswered(&e.to_string()))?;
-    let due = Instant::now() + FIRST_MESSAGE_TIMEOUT;
+    let due = Instant::now() + first_message_timeout(&hub.settings().policy);
     let answer = timeout_at(due.into(), send.send_request(request)).await;
     let answer: Response<Incoming> = answer.map_err(|_| unanswered("no answer"))??;
     if answer.status() != StatusCode::OK {
--- a/crates/node/tests/discovery.rs
+++ b/crates/node/tests/discovery.rs
@@ -239,6 +239,44 @@
     );
 }
 
+/// How long a service that works calls in turn may keep the third of four nodes waiting: two calls before it,
+/// and its own.
+const QUEUED_ANSWER_TIME: Duration = Duration::from_millis(4200);
+
+/// Guards against a call that a node gives up just before its answer, so that the service has worked for nobody
+/// and the node hears of a removal too late.
+#[test]
+fn a_call_that_waits_at_the_service_is_not_given_up_before_its_answer() {
+    let [removed, other] = ["removed", "other"].map(Peer::healthy);
+    let list_without = list_line(2, true, &[entry("s1", &other, "active")]) + "\n";
+    let first_list =
+        list_line(1, true, &[entry("s0", &removed, "active"), entry("s1", &other, "active")]) + "\n";
+    let watch_ends = Arc::new(AtomicBool::new(false));
+    let end_requested = watch_ends.clone();
+    let lists = ScriptedListService::new(move |path, earlier_calls, to| {
+        if path.contains("watch") && earlier_calls > 0 {
+            std::thread::sleep(QUEUED_ANSWER_TIME);
+            to.write_all(WATCH_HEAD)?;
+            write_chunk(to, &list_without)?;
+            return keep_alive(to);
+        }
+        if !path.contains("watch") {
+            return to.write_all(&answer(200, "", first_list.trim_end()));
+        }
+        to.write_all(WATCH_HEAD)?;
+        write_chunk(to, "\n")?;
+        wait_for(&end_requested);
+        Ok(())
+    });
+    let node = start_fleet_member(lists.address, 0, 4);
+    until("the watch is open", || lists.watch_count() == 1);
+    watch_ends.store(true, Ordering::SeqCst);
+    until("the removal is known", || node.log_contains("list followed again"));
+    assert_eq!(lists.watch_count(), 2, "{}", timeline(&node));
+    let last = last_served_by(b"removed", &node, Instant::now() + GRACE);
+    assert_eq!(last, None, "{}", timeline(&node));
+}
+
 /// How many processes call the crowded service, and its time for each call: all of them together take 3.5 s,
 /// which is longer than a node has.
 const CROWD_SIZE: u64 = 44;
--- a/crates/policy/src/discovery.rs
+++ b/crates/policy/src/discovery.rs
@@ -9,6 +9,12 @@
 /// Time that the service has for each node's call when calls fail. It still has to process calls that no
 /// longer wait for an answer.
 const CALL_SPACING: Millis = 75.0;
+/// A call that fails sooner than this has not waited in the service's queue: the service could not be reached.
+const MIN_QUEUED_TIME: Millis = 1500.0;
+/// Longest delay before the next call to a service that could not be reached, unless the fleet is so large
+/// that its calls have to be spread further. A change counts as notified 6 s after the service can be reached
+/// again: this delay, a call that fails after the service's 3 s, and another call have to fit in.
+const MAX_UNREACHABLE_DELAY: Millis = 400.0;
 /// When an established watch ended, the calls are spread only as far as needed to keep them from waiting in
 /// vain, as the node knows less than it was notified of meanwhile. The shortest spread is this time per
 /// node, up to an upper bound.
@@ -39,9 +45,9 @@
 enum State {
     /// No call is needed, or the subscription is established.
     Idle,
-    /// A call was made at this time, after this many failures.
+    /// A call was made at this time, after this many failures in a row of a service that could be reached.
     Called(Millis, u32),
-    /// A call is due at this time, after this many failures.
+    /// A call is due at this time, after this many such failures.
     Due(Millis, u32),
 }
 
@@ -191,6 +197,11 @@
     /// A call failed, or an established watch ended. `chance` is a random number from 0 to 1.
     pub fn on_failed(&mut self, now: Millis, failure: ListFailure, settings: &Settings, chance: f64) {
         let (called, failures) = match self.state {
+            // A call that costs the service nothing needs no backoff, and the backoff from an outage must
+            // not delay the calls after it.
+            State::Called(at, _) if failure == ListFailure::Unanswered && now - at < MIN_QUEUED_TIME => {
+                (at, 0)
+            }
             State::Called(at, failures) => (at, failures + 1),
             State::Idle | State::Due(..) => (now, 1),
         };
@@ -232,7 +243,10 @@
         let (fleet_span, within) = (settings.nodes as f64 * CALL_SPACING, settings.rules.max_call_interval);
         // Backoff with jitter, so that nodes that were cut off together do not return together, over a span
         // that grows with the number of nodes.
-        let backoff = within / 20.0 * f64::from(1u32 << (failures.min(MAX_BACKOFF_FAILURES) - 1));
+        let backoff = match failures.min(MAX_BACKOFF_FAILURES).checked_sub(1) {
+            Some(doublings) => within / 20.0 * f64::from(1u32 << doublings),
+            None => MAX_UNREACHABLE_DELAY.min(within / 20.0),
+        };
         let overload_span = backoff.max(fleet_span).min((0.4 * within).max(fleet_span));
         let most = if settings.limits.probes { overload_span } else { MAX_UNCHECKED_REOPEN_SPREAD };
         let least = (settings.nodes as f64 * REOPEN_SPACING).min(MAX_MIN_REOPEN_SPREAD);
--- a/crates/scale/src/scenario/list_calls.rs
+++ b/crates/scale/src/scenario/list_calls.rs
@@ -23,13 +23,17 @@
 /// Total time that the service needs to answer one call from each node, one after another. Measurements
 /// showed the same total at every fleet size.
 pub const ROUND_TIMES: [Millis; 3] = [2_000.0, 4_000.0, 8_000.0];
-/// A call fails after this time in the queue of the service, which still works on it.
-const CALL_TIMEOUT: Millis = 2_000.0;
+/// An overloaded service fails a call after this time in its queue, and still works on it.
+const OVERLOADED_CALL_TIMEOUT: Millis = 2_000.0;
+/// A service by the protocol fails a call that has waited for this long, and spends nothing on it.
+const CALL_TIMEOUT: Millis = 3_000.0;
 /// When the watches fail, and how long the service is unreachable with [`WatchFault::ServiceDown`].
 const FAULT_AT: Millis = 10_000.0;
 const OUTAGE_TIME: Millis = 10_000.0;
 /// Duration of a run.
 const RUN_TIME: Millis = 90_000.0;
+/// Keeps the seeds of the nodes of different runs apart.
+const SEED_FACTOR: u64 = 1_000_003;
 /// Watches that fall silent do so within this time.
 const SILENCE_SPREAD: Millis = 2_000.0;
 
@@ -53,6 +57,27 @@
     ];
 }
 
+/// The service that answers the calls of all nodes, one after another.
+#[derive(Clone, Copy, Debug)]
+pub struct Service {
+    /// Total time for one call from each node.
+    pub round_time: Millis,
+    /// Whether it also works on calls that have failed.
+    pub works_on_failed_calls: bool,
+}
+
+impl Service {
+    /// A service that also works on calls that have failed, so that too many calls slow it down further.
+    pub fn overloaded(round_time: Millis) -> Self {
+        Self { round_time, works_on_failed_calls: true }
+    }
+
+    /// A service that drops calls that have waited too long.
+    pub fn dropping(round_time: Millis) -> Self {
+        Self { round_time, works_on_failed_calls: false }
+    }
+}
+
 /// Results of one run.
 #[derive(Clone, Debug)]
 pub struct RunResult {
@@ -104,6 +129,7 @@
     fault: WatchFault,
     /// Time that the service needs for one call.
     call_time: Millis,
+    works_on_failed_calls: bool,
     /// When the service has finished all queued calls.
     service_idle_at: Millis,
     calls: usize,
@@ -130,15 +156,19 @@
 }
 
 impl Fleet {
-    fn new(nodes: usize, fault: WatchFault, round_time: Millis) -> Self {
-        let balancer = |node| Balancer::new(settings(nodes, node), node as u64).expect("valid settings");
+    fn new(nodes: usize, fault: WatchFault, service: Service, seed: u64) -> Self {
+        let balancer = |node: usize| {
+            let seed = seed.wrapping_mul(SEED_FACTOR).wrapping_add(node as u64);
+            Balancer::new(settings(nodes, node), seed).expect("valid settings")
+        };
         let mut fleet = Self {
             nodes: (0..nodes).map(balancer).collect(),
             recovered_at: vec![None; nodes],
             pending: BinaryHeap::new(),
             last_sequence: 0,
             fault,
-            call_time: round_time / nodes as f64,
+            call_time: service.round_time / nodes as f64,
+            works_on_failed_calls: service.works_on_failed_calls,
             service_idle_at: 0.0,
             calls: 0,
             health_checks: 0,
@@ -186,9 +216,14 @@
         if self.fault == WatchFault::ServiceDown && (FAULT_AT..FAULT_AT + OUTAGE_TIME).contains(&now) {
             return self.schedule(now, node, EventKind::CallFailed);
         }
+        if !self.works_on_failed_calls && self.service_idle_at > now + CALL_TIMEOUT {
+            return self.schedule(now + CALL_TIMEOUT, node, EventKind::CallFailed);
+        }
         self.service_idle_at = self.service_idle_at.max(now) + self.call_time;
         let (at, event_kind) = match self.service_idle_at - now {
-            wait if wait > CALL_TIMEOUT => (now + CALL_TIMEOUT, EventKind::CallFailed),
+            wait if self.works_on_failed_calls && wait > OVERLOADED_CALL_TIMEOUT => {
+                (now + OVERLOADED_CALL_TIMEOUT, EventKind::CallFailed)
+            }
             _ => (self.service_idle_at, EventKind::CallAnswered),
         };
         self.schedule(at, node, event_kind);
@@ -215,9 +250,9 @@
     }
 }
 
-/// Simulates one fault of the watches. The service needs `round_time` to answer one call from each node.
-pub fn simulate(nodes: usize, fault: WatchFault, round_time: Millis) -> RunResult {
-    let mut fleet = Fleet::new(nodes, fault, round_time);
+/// Simulates one fault of the watches; `seed` drives the random choices of the nodes.
+pub fn simulate(nodes: usize, fault: WatchFault, service: Service, seed: u64) -> RunResult {
+    let mut fleet = Fleet::new(nodes, fault, service, seed);
     while let Some(Reverse(scheduled_event)) = fleet.pending.pop() {
         if scheduled_event.at > RUN_TIME {
             break;
@@ -242,7 +277,7 @@
         for (fault, name) in WatchFault::ALL {
             for round_time in ROUND_TIMES {
                 let name = format!("{name} ({} s a round)", round_time / 1000.0);
-                add(report, nodes, &name, &simulate(nodes, fault, round_time));
+                add(report, nodes, &name, &simulate(nodes, fault, Service::overloaded(round_time), 0));
             }
         }
     }
