A refusal right behind a refusal may be a copy, and is held before it proves anything

A near server refuses at once, so no time tells a second copy of a refusal, some milliseconds late, from the refusal of the next request. That request ran, was taken for "never ran" and sent again, and the connection shifted as before.

Change: the connection knows the meaning of its last answer; a refusal within 25 ms of a refusal on the same connection is held like an early answer. "Never ran" is a claim that needs an undoubted connection.

--- a/crates/exchange/src/connection.rs
+++ b/crates/exchange/src/connection.rs
@@ -155,13 +155,15 @@
     /// When the connection was established or its last response was complete.
     idle_since: Instant,
     answers: u32,
+    /// The meaning of the last response.
+    last_meaning: Option<ResponseMeaning>,
     state: State,
 }
 
 impl Connection {
     /// Creates the state of a connection that has just been established.
     pub fn new(now: Instant) -> Self {
-        Self { opened: now, idle_since: now, answers: 0, state: State::Idle }
+        Self { opened: now, idle_since: now, answers: 0, last_meaning: None, state: State::Idle }
     }
 
     /// When the connection was established.
@@ -174,6 +176,11 @@
         self.idle_since
     }
 
+    /// The meaning of the last response; `None` before the first.
+    pub fn last_meaning(&self) -> Option<ResponseMeaning> {
+        self.last_meaning
+    }
+
     /// When a request may be written to the connection at the earliest; `None` if none may be.
     pub fn usable_from(&self, required_idle: RequiredIdle) -> Option<Instant> {
         (self.state == State::Idle).then(|| self.idle_since + self.min_idle(required_idle))
@@ -271,6 +278,7 @@
         self.state = State::Idle;
         self.answers += 1;
         self.idle_since = now;
+        self.last_meaning = Some(answer.meaning);
         let proof = match answer.meaning {
             ResponseMeaning::Served => Proof::Served,
             ResponseMeaning::RefusedUnprocessed | ResponseMeaning::Rejected => Proof::NeverRan,
--- a/crates/exchange/src/response_time.rs
+++ b/crates/exchange/src/response_time.rs
@@ -51,6 +51,8 @@
     pub after_request: Duration,
     /// Time since the response before it, or since the connection was established.
     pub after_previous: Duration,
+    /// The meaning of the response before it; `None` if it is the first on its connection.
+    pub previous: Option<ResponseMeaning>,
 }
 
 impl From<ResponseMeaning> for ResponseKind {
@@ -208,7 +210,7 @@
         }
     }
 
-    /// If a response of this kind is implausibly early, returns the time after its request within which the
+    /// If a response of this kind is implausibly early, or may be a copy of the one before it, returns the time after its request within which the
     /// true response would arrive.
     pub fn true_response_within(
         &self,
@@ -220,9 +222,12 @@
             return None;
         }
         let times = self.servers.get(&server)?;
-        let shortest = times.current.merge(times.previous).bound(kind)?;
-        let is_early = timing.after_request < shortest.mul_f64(PLAUSIBLE_SHARE);
-        times.usual.filter(|_| is_early).map(SmoothedTime::upper_bound)
+        let shortest = times.current.merge(times.previous).bound(kind);
+        let is_early = shortest.is_some_and(|time| timing.after_request < time.mul_f64(PLAUSIBLE_SHARE));
+        // A refusal takes no time to tell it from a second copy of the refusal before it.
+        let may_be_copy =
+            kind == ResponseKind::Unprocessed && timing.previous == Some(ResponseMeaning::RefusedUnprocessed);
+        times.usual.filter(|_| is_early || may_be_copy).map(SmoothedTime::upper_bound)
     }
 
     /// Discards the times of a server, as another process has taken its place.
--- a/crates/exchange/tests/response_time.rs
+++ b/crates/exchange/tests/response_time.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use glenwood_exchange::{ResponseKind, ResponseTimes, ResponseTiming};
+use glenwood_exchange::{ResponseKind, ResponseMeaning, ResponseTimes, ResponseTiming};
 use proptest::prelude::*;
 
 const MS: Duration = Duration::from_millis(1);
@@ -22,7 +22,7 @@
 }
 
 fn after(after_request: Duration) -> ResponseTiming {
-    ResponseTiming { after_request, after_previous: SOON }
+    ResponseTiming { after_request, after_previous: SOON, previous: Some(ResponseMeaning::Served) }
 }
 
 /// Guards against responses that are doubted on little evidence.
@@ -58,6 +58,23 @@
     assert!(early(&times, 10));
 }
 
+/// Guards against a late copy of a refusal that passes for the refusal of the next request, so that a request
+/// that runs is sent again: the path to a near server is no bound.
+#[test]
+fn a_refusal_right_behind_a_refusal_may_be_a_copy() {
+    let (mut times, now) = with_responses(ResponseKind::Served, ENOUGH);
+    (0..ENOUGH).for_each(|_| times.record(now, SERVER, ResponseKind::Unprocessed, MS));
+    let is_held = |kind, previous, after_previous| {
+        let timing = ResponseTiming { after_request: 5 * MS, after_previous, previous };
+        times.true_response_within(SERVER, kind, timing).is_some()
+    };
+    let refused = Some(ResponseMeaning::RefusedUnprocessed);
+    assert!(is_held(ResponseKind::Unprocessed, refused, SOON));
+    assert!(!is_held(ResponseKind::Unprocessed, refused, 30 * MS));
+    assert!(!is_held(ResponseKind::Unprocessed, Some(ResponseMeaning::Served), SOON));
+    assert!(!is_held(ResponseKind::HealthCheck, refused, SOON));
+}
+
 /// Guards against health checks, which are quicker than work, that are held back because they are.
 #[test]
 fn a_health_check_is_not_compared_with_work() {
@@ -70,7 +87,7 @@
 fn a_response_long_after_the_one_before_it_is_not_early() {
     let (times, _) = with_responses(ResponseKind::Served, ENOUGH);
     let early = |ms: u32| {
-        let timing = ResponseTiming { after_request: MS, after_previous: ms * MS };
+        let timing = ResponseTiming { after_previous: ms * MS, ..after(MS) };
         times.true_response_within(SERVER, ResponseKind::Served, timing).is_some()
     };
     assert!(early(10) && early(25));
--- a/crates/node/tests/peers/many.rs
+++ b/crates/node/tests/peers/many.rs
@@ -281,7 +281,12 @@
                 drains_for: inactive.and_then(|inactive| at.checked_duration_since(inactive.known_at)),
             });
             if is_rejected {
-                write(&writer, &answer(503, "X-Turned-Away: 1\r\n", "")).await?;
+                let rejection = answer(503, "X-Turned-Away: 1\r\n", "");
+                write(&writer, &rejection).await?;
+                let copy = self.faults.lock().expect("mutex poisoned").rejection_copy(&mut rng);
+                if let Some(delay) = copy {
+                    delayed_writes.spawn(write_after(writer.clone(), delay, rejection));
+                }
                 continue;
             }
             let work_ms = &self.timing.work_ms;
--- a/crates/node/tests/peers/strays.rs
+++ b/crates/node/tests/peers/strays.rs
@@ -24,6 +24,8 @@
     InterimResponse,
     /// A response is written in small pieces.
     SplitResponse { share: u64 },
+    /// A rejection is sent a second time after a delay.
+    CopiedRejection { share: u64, delay_ms: Range<u64> },
     /// The server rejects a request without executing it.
     Rejection { share: u64 },
 }
@@ -79,6 +81,16 @@
         })
     }
 
+    /// After which delay a rejection is sent a second time, if it is.
+    pub fn rejection_copy(&self, rng: &mut Rng) -> Option<Duration> {
+        self.0.iter().find_map(|fault| match fault {
+            ResponseFault::CopiedRejection { share, delay_ms } => {
+                occurs(rng, *share).then(|| draw(rng, delay_ms))
+            }
+            _ => None,
+        })
+    }
+
     /// Whether the next request is rejected.
     pub fn rejects_request(&self, rng: &mut Rng) -> bool {
         self.0.iter().any(|fault| matches!(fault, ResponseFault::Rejection { share } if occurs(rng, *share)))
@@ -99,7 +111,9 @@
                 ResponseFault::CloseAfterResponse { share } => delivery.closes |= occurs(rng, *share),
                 ResponseFault::SplitResponse { share } => delivery.is_split |= occurs(rng, *share),
                 ResponseFault::InterimResponse => delivery.has_interim = true,
-                ResponseFault::OnConnect { .. } | ResponseFault::Rejection { .. } => {}
+                ResponseFault::OnConnect { .. }
+                | ResponseFault::CopiedRejection { .. }
+                | ResponseFault::Rejection { .. } => {}
             }
         }
         delivery
--- a/crates/node/tests/whose_answer.rs
+++ b/crates/node/tests/whose_answer.rs
@@ -289,6 +289,20 @@
     );
 }
 
+/// Guards against a second copy of a rejection that passes for the rejection of the next request, which runs.
+#[test]
+fn a_second_copy_of_a_rejection_rejects_no_other_request() {
+    let near = ServerTiming { round_trip: Duration::ZERO, work_ms: 25..45 };
+    assert_rules_hold_in(
+        &Deployment { timing: near, ..Deployment::one_distant_server() },
+        "copied rejection, 4 to 10 ms, all connections in use",
+        &[
+            ResponseFault::Rejection { share: 50 },
+            ResponseFault::CopiedRejection { share: 200, delay_ms: 4..10 },
+        ],
+    );
+}
+
 /// Guards against the same where it arrives later than connections usually stay idle.
 #[test]
 fn a_second_answer_that_comes_later_answers_no_request() {
