--- a/crates/node/tests/operation.rs
+++ b/crates/node/tests/operation.rs
@@ -130,7 +130,7 @@
 }
 
 #[test]
-fn a_admin_endpoint_that_cannot_be_opened_is_reported_in_one_line() {
+fn an_admin_endpoint_that_cannot_be_opened_is_reported_in_one_line() {
     let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
     let registry = Registry::new(&[]);
     let mut config = config(registry.address);
--- a/crates/node/tests/whose_answer.rs
+++ b/crates/node/tests/whose_answer.rs
@@ -92,13 +92,13 @@
 }
 
 impl TestCluster {
-    fn start(seed: u64, deployment: &Deployment, strays: &ResponseFaults) -> Self {
+    fn start(seed: u64, deployment: &Deployment, faults: &ResponseFaults) -> Self {
         let record: Arc<Record> = Arc::default();
         let servers = ServerPool::start_with_timing(deployment.servers, &record, deployment.timing.clone());
         servers.set_response_faults(if deployment.faults_after.is_zero() {
-            strays.clone()
+            faults.clone()
         } else {
-            strays.rejections()
+            faults.rejections()
         });
         let entries: Vec<Value> = (0..servers.count()).map(|number| servers.entry(number)).collect();
         let service = ListService::start(&entries);
@@ -151,11 +151,11 @@
     }
 
     /// What a node has logged about a request, and about answers out of turn until then.
-    fn timeline(&self, breach: &Violation) -> String {
-        let Some(node) = self.nodes.iter().find(|node| node.address == breach.node) else {
+    fn timeline(&self, violation: &Violation) -> String {
+        let Some(node) = self.nodes.iter().find(|node| node.address == violation.node) else {
             return String::new();
         };
-        let suffix = format!(" {}", breach.id);
+        let suffix = format!(" {}", violation.id);
         let accepted = node.grep_log(|line| line.contains(" id ") && line.ends_with(&suffix));
         let number = accepted.first().and_then(|line| line.rsplit(' ').nth(1)).unwrap_or("none").to_string();
         let is_relevant = |line: &str| {
@@ -178,10 +178,10 @@
 fn run_seed(
     label: &str,
     deployment: &Deployment,
-    strays: &ResponseFaults,
+    faults: &ResponseFaults,
     seed: u64,
 ) -> (Vec<String>, usize) {
-    let cluster = TestCluster::start(seed, deployment, strays);
+    let cluster = TestCluster::start(seed, deployment, faults);
     let driver_delay = SchedulingDelay::measure();
     std::thread::scope(|scope| {
         for number in 0..deployment.clients {
@@ -189,15 +189,15 @@
             scope.spawn(move || cluster.run_client(number, seed));
         }
         std::thread::sleep(deployment.faults_after);
-        cluster.servers.set_response_faults(strays.clone());
+        cluster.servers.set_response_faults(faults.clone());
         let run_time = Duration::from_secs(env_number("GLENWOOD_SECONDS", SECONDS));
         std::thread::sleep(run_time.saturating_sub(deployment.faults_after));
         cluster.is_over.store(true, Ordering::SeqCst);
     });
     cluster.record.set_test_delay(driver_delay.longest());
     let (asked, served) = cluster.record.counts();
-    let breaches = cluster.record.violations(|_, _| true);
-    let count = |rule| breaches.iter().filter(|breach| breach.rule == rule).count();
+    let rule_violations = cluster.record.violations(|_, _| true);
+    let count = |rule| rule_violations.iter().filter(|violation| violation.rule == rule).count();
     println!(
         "{label}, seed {seed}: {} foreign, {} duplicate, {} refused, {} lost, {} others; {served} of {asked} served; {} connections; \
          driver late by {:.0?}",
@@ -209,9 +209,10 @@
         cluster.servers.connection_count(),
         driver_delay.longest()
     );
-    let describe =
-        |breach: &Violation| format!("{label}, seed {seed}: {breach}\n  {}", cluster.timeline(breach));
-    let mut violations: Vec<String> = breaches.iter().map(describe).collect();
+    let describe = |violation: &Violation| {
+        format!("{label}, seed {seed}: {violation}\n  {}", cluster.timeline(violation))
+    };
+    let mut violations: Vec<String> = rule_violations.iter().map(describe).collect();
     if (served as f64) < MIN_SERVED_SHARE * asked as f64 {
         violations.push(format!("{label}, seed {seed}: {served} of {asked} requests served"));
     }
@@ -222,19 +223,19 @@
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
 /// Runs all seeds, asserts that there is no violation, and returns the number of connections to servers.
-fn assert_rules_hold(label: &str, strays: &[ResponseFault]) -> usize {
-    assert_rules_hold_in(&Deployment::default(), label, strays)
+fn assert_rules_hold(label: &str, faults: &[ResponseFault]) -> usize {
+    assert_rules_hold_in(&Deployment::default(), label, faults)
 }
 
 /// The same in another deployment than the default one.
-fn assert_rules_hold_in(deployment: &Deployment, label: &str, strays: &[ResponseFault]) -> usize {
+fn assert_rules_hold_in(deployment: &Deployment, label: &str, faults: &[ResponseFault]) -> usize {
     let _guard = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
-    let strays = ResponseFaults(strays.to_vec());
+    let faults = ResponseFaults(faults.to_vec());
     let first = env_number("GLENWOOD_FIRST", 1);
     let (mut violations, mut connections) = (Vec::new(), 0);
     for seed in first..first + env_number("GLENWOOD_SEEDS", 1) {
-        let (breaches, count) = run_seed(label, deployment, &strays, seed);
-        violations.extend(breaches);
+        let (rule_violations, count) = run_seed(label, deployment, &faults, seed);
+        violations.extend(rule_violations);
         connections += count;
     }
     let some = &violations[..violations.len().min(12)];
@@ -325,14 +326,14 @@
 /// pieces.
 #[test]
 fn answers_with_broken_framing_answer_one_request_at_most() {
-    let strays = [
+    let faults = [
         TURNS_AWAY,
         ResponseFault::RepeatedResponse { share: 30 },
         ResponseFault::TruncatedResponse { share: 10 },
         ResponseFault::CloseAfterResponse { share: 30 },
         ResponseFault::SplitResponse { share: 100 },
     ];
-    assert_rules_hold("framing", &strays);
+    assert_rules_hold("framing", &faults);
 }
 
 /// Guards against interim answers that cost a connection each, or are taken for the final answer.
--- a/crates/scale/src/scenario/list_calls.rs
+++ b/crates/scale/src/scenario/list_calls.rs
@@ -20,8 +20,8 @@
 
 /// Number of servers in the list.
 const SERVERS: u64 = 50;
-/// Total time that the service needs to answer one call from each node, one after another. Measurements
-/// showed the same total at every fleet size.
+/// Total time that the service needs to answer one call from each node, one after another; the same at every
+/// fleet size.
 pub const ROUND_TIMES: [Millis; 3] = [2_000.0, 4_000.0, 8_000.0];
 /// An overloaded service fails a call after this time in its queue, and still works on it.
 const OVERLOADED_CALL_TIMEOUT: Millis = 2_000.0;
