Testkit: no two machines of one test process choose the same port

Reason: a_release_that_hangs_is_rolled_back_under_load failed once in the script on: every request of one client of twelve, c5-0 to c5-58, had been carried out twice, and of no other. It passed in six of six runs alone.

Cause, most likely: ports of instances are chosen, freed and bound later with SO_REUSEPORT, so two machines of one process may get the same one unnoticed, and the kernel hands each connections of the other's clients. The client c5 of the test that runs beside it sends the same ids from c5-0 on, and its one connection explains that all of c5 ran twice and nothing else. Not reproduced.

Change: ports that a process has chosen are not chosen again in it. What is asserted stays.

Measured: the seven tests of crates/glenctl/tests/fleet.rs pass.

--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -1,11 +1,12 @@
 //! Real node instances under an agent that is controlled through `glenctl` as a process, and clients that
 //! send requests meanwhile.
 
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use rustix::process::{prlimit, Pid, Resource, Rlimit};
@@ -32,6 +33,24 @@
     _discovery: Discovery,
 }
 
+/// Chooses free addresses that no other machine of this process has. Instances share their ports with their
+/// successors (`SO_REUSEPORT`), so two machines with one port would get each other's connections unnoticed.
+fn choose_addresses(count: usize) -> Vec<SocketAddr> {
+    static CHOSEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+    let mut chosen = CHOSEN.lock().unwrap_or_else(PoisonError::into_inner);
+    // All listeners stay bound until every port is chosen, so that the ports differ.
+    let (mut listeners, mut addresses) = (Vec::new(), Vec::new());
+    while addresses.len() < count {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("cannot bind to a free port");
+        let address = listener.local_addr().expect("a bound socket has an address");
+        listeners.push(listener);
+        if chosen.insert(address) {
+            addresses.push(address);
+        }
+    }
+    addresses
+}
+
 impl Machine {
     /// Starts a machine with this many instances of the release `r1` and waits until they are ready.
     /// `glenctl` is the path of that program, and `sha256` computes the digest of a file; `extra` is added to
@@ -60,14 +79,8 @@
             })
             .collect();
         let discovery = Discovery::start(&servers.iter().map(active).collect::<Vec<_>>());
-        // Instances keep their addresses over restarts, so the ports are chosen here. All listeners stay
-        // bound until every port is chosen, so that the ports differ.
-        let listeners: Vec<TcpListener> = (0..instances)
-            .map(|_| TcpListener::bind("127.0.0.1:0").expect("cannot bind to a free port"))
-            .collect();
-        let addresses: Vec<SocketAddr> =
-            listeners.iter().map(|l| l.local_addr().expect("a bound socket has an address")).collect();
-        drop(listeners);
+        // Instances keep their addresses over restarts, so the ports are chosen here.
+        let addresses = choose_addresses(instances);
         let (program, shell) = (sha256(glenctl), sha256(Path::new("/bin/sh")));
         let mut text = format!(
             "[fleet]\npause_ms = 100\nready_within_ms = 10000\nstop_within_ms = 8000\ncanary_requests = 20\n\
