A service that could not be reached is called at most every 0.38 s

Reason: discovery_lost_and_back failed in the script on: 16 calls in 3 s of an outage, where eight are allowed.

Cause: the delay's upper bound comes from the 6 s of the promise; its lower bound was 0, which spreads nothing that matters for a few nodes and doubles the calls.

Change: a small fleet draws from 0.38 to 0.45 s; larger ones from their span, as before.

Measured: discovery_lost_and_back passes; list_calls.rs passes, 600 draws of four nodes within 6 s among it.

--- a/crates/policy/src/discovery.rs
+++ b/crates/policy/src/discovery.rs
@@ -11,10 +11,11 @@
 const CALL_SPACING: Millis = 75.0;
 /// A call that fails sooner than this has not waited in the service's queue: the service could not be reached.
 const MIN_QUEUED_TIME: Millis = 1500.0;
-/// Longest delay before the next call to a service that could not be reached, unless the fleet is so large
-/// that its calls have to be spread further. A change counts as notified 6 s after the service can be reached
-/// again: this delay, a call that fails after the service's 3 s, and another call have to fit in.
-const MAX_UNREACHABLE_DELAY: Millis = 400.0;
+/// Delay before the next call to a service that could not be reached, at least and at most; a fleet so large
+/// that its calls have to be spread further draws from that span. A change counts as notified 6 s after the
+/// service can be reached again: this delay, a call that fails after the service's 3 s, and another call have
+/// to fit in.
+const UNREACHABLE_DELAY: (Millis, Millis) = (380.0, 450.0);
 /// When an established watch ended, the calls are spread only as far as needed to keep them from waiting in
 /// vain, as the node knows less than it was notified of meanwhile. The shortest spread is this time per
 /// node, up to an upper bound.
@@ -217,6 +218,12 @@
         let span = self.span(now, failure, failures, settings);
         // A change also counts as notified to a node that has not called for this long.
         let latest = called + 0.85 * settings.rules.max_call_interval;
+        let chance = if failures == 0 && span <= UNREACHABLE_DELAY.1 {
+            let least = UNREACHABLE_DELAY.0 / UNREACHABLE_DELAY.1;
+            least + (1.0 - least) * chance
+        } else {
+            chance
+        };
         let pause = delay_after_failure(span, latest - now, failure, chance);
         self.draw = CallDraw { span: span.min((latest - now).max(0.0)), chance };
         self.state = State::Due(now + pause, failures);
@@ -245,7 +252,7 @@
         // that grows with the number of nodes.
         let backoff = match failures.min(MAX_BACKOFF_FAILURES).checked_sub(1) {
             Some(doublings) => within / 20.0 * f64::from(1u32 << doublings),
-            None => MAX_UNREACHABLE_DELAY.min(within / 20.0),
+            None => UNREACHABLE_DELAY.1,
         };
         let overload_span = backoff.max(fleet_span).min((0.4 * within).max(fleet_span));
         let most = if settings.limits.probes { overload_span } else { MAX_UNCHECKED_REOPEN_SPREAD };
