The first call after a call that reached no service comes sooner than the next

Reason: discovery_is_called_again_with_growing_pauses failed on (450, 415, 415, 435 and 445 ms): pauses grew no more.

Change: 0.06 to 0.18 s after the first such call, 0.38 to 0.45 s after each further one.

--- a/crates/policy/src/discovery.rs
+++ b/crates/policy/src/discovery.rs
@@ -9,13 +9,16 @@
 /// Time that the service has for each node's call when calls fail. It still has to process calls that no
 /// longer wait for an answer.
 const CALL_SPACING: Millis = 75.0;
-/// A call that fails sooner than this has not waited in the service's queue: the service could not be reached.
+/// A call that fails sooner than this has not waited in the service's queue: the service could not be
+/// reached.
 const MIN_QUEUED_TIME: Millis = 1500.0;
 /// Delay before the next call to a service that could not be reached, at least and at most; a fleet so large
 /// that its calls have to be spread further draws from that span. A change counts as notified 6 s after the
 /// service can be reached again: this delay, a call that fails after the service's 3 s, and another call have
 /// to fit in.
 const UNREACHABLE_DELAY: (Millis, Millis) = (380.0, 450.0);
+/// The same after the first such call in a row.
+const FIRST_UNREACHABLE_DELAY: (Millis, Millis) = (60.0, 180.0);
 /// When an established watch ended, the calls are spread only as far as needed to keep them from waiting in
 /// vain, as the node knows less than it was notified of meanwhile. The shortest spread is this time per
 /// node, up to an upper bound.
@@ -73,6 +76,8 @@
     load: LoadEstimate,
     /// The random draw of the time of the call that is due or in flight.
     draw: CallDraw,
+    /// Number of calls in a row that could not reach the service.
+    unreachable: u32,
     /// Details of the loss while the list is not followed; `None` while it is.
     lost: Option<ListLoss>,
 }
@@ -131,6 +136,7 @@
             refilled_at: 0.0,
             load: LoadEstimate::default(),
             draw: CallDraw::IMMEDIATE,
+            unreachable: 0,
             lost: None,
         }
     }
@@ -154,6 +160,7 @@
     /// was worth it: a service that ends watches instead of sending changes on them may keep doing so.
     pub fn on_answered(&mut self, news: bool) {
         self.state = State::Idle;
+        self.unreachable = 0;
         self.lost = None;
         if news {
             self.reopenings = (self.reopenings + 1.0).min(MAX_REOPENINGS);
@@ -211,6 +218,7 @@
             ListFailure::Unanswered if self.state == State::Idle => ListFailure::Ended,
             other => other,
         };
+        self.unreachable = if failures == 0 { self.unreachable.saturating_add(1) } else { 0 };
         self.record_loss(now, failure, chance);
         if failure == ListFailure::Unanswered {
             self.load.on_failed();
@@ -218,17 +226,23 @@
         let span = self.span(now, failure, failures, settings);
         // A change also counts as notified to a node that has not called for this long.
         let latest = called + 0.85 * settings.rules.max_call_interval;
-        let chance = if failures == 0 && span <= UNREACHABLE_DELAY.1 {
-            let least = UNREACHABLE_DELAY.0 / UNREACHABLE_DELAY.1;
-            least + (1.0 - least) * chance
-        } else {
-            chance
-        };
+        let (least, most) = self.unreachable_delay();
+        let chance =
+            if failures == 0 && span <= most { (least + (most - least) * chance) / most } else { chance };
         let pause = delay_after_failure(span, latest - now, failure, chance);
         self.draw = CallDraw { span: span.min((latest - now).max(0.0)), chance };
         self.state = State::Due(now + pause, failures);
     }
 
+    /// The least and the longest delay before the next call to a service that could not be reached.
+    fn unreachable_delay(&self) -> (Millis, Millis) {
+        if self.unreachable <= 1 {
+            FIRST_UNREACHABLE_DELAY
+        } else {
+            UNREACHABLE_DELAY
+        }
+    }
+
     /// Records that the list is not followed. A call without an answer has sent nothing, so no changes were
     /// lost.
     fn record_loss(&mut self, now: Millis, failure: ListFailure, chance: f64) {
@@ -252,7 +266,7 @@
         // that grows with the number of nodes.
         let backoff = match failures.min(MAX_BACKOFF_FAILURES).checked_sub(1) {
             Some(doublings) => within / 20.0 * f64::from(1u32 << doublings),
-            None => UNREACHABLE_DELAY.1,
+            None => self.unreachable_delay().1,
         };
         let overload_span = backoff.max(fleet_span).min((0.4 * within).max(fleet_span));
         let most = if settings.limits.probes { overload_span } else { MAX_UNCHECKED_REOPEN_SPREAD };
