Trace: a line for each connection to a server that has come up

Need: a response that no request asked for is judged by the time since its connection came up; where one was believed, neither the log nor the trace said when that was, so a late server and a hasty node looked alike. Change: `connected SERVER ADDRESS`, with the node's own address of the connection, over HTTP/1.1; one system call for a new connection, and only while the trace is on.

--- a/crates/node/src/backend/http1/mod.rs
+++ b/crates/node/src/backend/http1/mod.rs
@@ -208,7 +208,9 @@
             None => {
                 hub.connecting(server);
                 let connecting = timeout_at(deadline.into(), pool.connect(place, !is_call));
-                connecting.await.unwrap_or(Err(Outcome::NotSent))?
+                let link = connecting.await.unwrap_or(Err(Outcome::NotSent))?;
+                hub.connected(server, || link.sock.local_address());
+                link
             }
         };
         let readiness = timeout_at(deadline.into(), pool.wait_until_usable(server, &mut link)).await;
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -403,6 +403,11 @@
         self.trace(|name| TraceEvent::Connect(name(server)));
     }
 
+    /// A connection to a server has been established; `local` returns the node's own address of it.
+    pub fn connected(&self, server: ServerId, local: impl FnOnce() -> String) {
+        self.trace(|name| TraceEvent::Connected { server: name(server), local: local() });
+    }
+
     // ---- Metrics ----
 
     /// Counts a request of this class that was read; it counts as open until its ticket is returned.
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -255,6 +255,11 @@
         }))
     }
 
+    /// This node's own address of the connection; empty if the socket is broken.
+    pub fn local_address(&self) -> String {
+        self.stream.local_addr().map_or_else(|_| String::new(), |address| address.to_string())
+    }
+
     /// Starts tracking a message with a body of `body_bytes` bytes that is about to be written.
     pub fn begin_message(&self, body_bytes: usize) {
         *self.outgoing.borrow_mut() = Progress { body_bytes, ..Progress::default() };
--- a/crates/trace/src/record.rs
+++ b/crates/trace/src/record.rs
@@ -78,6 +78,13 @@
     },
     /// Started to open a connection to a server.
     Connect(String),
+    /// A connection to a server was established.
+    Connected {
+        /// The server.
+        server: String,
+        /// The node's own address of the connection.
+        local: String,
+    },
     /// Sent a probe to a server.
     Probe(String),
     /// A probe ended.
@@ -244,6 +251,7 @@
             }
             TraceEvent::RequestId { request, id } => write!(f, "id {request} {id}"),
             TraceEvent::Connect(server) => write!(f, "connect {server}"),
+            TraceEvent::Connected { server, local } => write!(f, "connected {server} {local}"),
             TraceEvent::Probe(server) => write!(f, "probe {server}"),
             TraceEvent::ProbeEnded { server, outcome } => write!(f, "probed {server} {outcome}"),
             TraceEvent::Accept { request, class } => write!(f, "ask {request} {class}"),
@@ -336,6 +344,7 @@
             "explain" => TraceEvent::AnswerReason { request: next()?.parse().ok()?, reason: next()?.into() },
             "close" => TraceEvent::Close { client: next()?.into(), reason: next()?.into() },
             "connect" => TraceEvent::Connect(next()?.into()),
+            "connected" => TraceEvent::Connected { server: next()?.into(), local: next()?.into() },
             "probe" => TraceEvent::Probe(next()?.into()),
             "probed" => TraceEvent::ProbeEnded { server: next()?.into(), outcome: next()?.into() },
             "ask" => TraceEvent::Accept { request: next()?.parse().ok()?, class: next()?.parse().ok()? },
--- a/crates/trace/src/tables.rs
+++ b/crates/trace/src/tables.rs
@@ -99,6 +99,7 @@
                 }
                 TraceEvent::Probe(_) => second.probes += 1,
                 TraceEvent::UnsolicitedBytes { .. }
+                | TraceEvent::Connected { .. }
                 | TraceEvent::DistrustedAnswer { .. }
                 | TraceEvent::DiscoveryRequest { .. }
                 | TraceEvent::DiscoveryResponse
--- a/crates/trace/tests/tables.rs
+++ b/crates/trace/tests/tables.rs
@@ -21,6 +21,7 @@
         TraceEvent::Reload { in_effect: false, address_changed: false },
         TraceEvent::RequestId { request: 1, id: "9b1f03aa5c7e2d41".into() },
         TraceEvent::Connect(server()),
+        TraceEvent::Connected { server: server(), local: "127.0.0.1:40112".into() },
         TraceEvent::Probe(server()),
         TraceEvent::ProbeEnded { server: server(), outcome: "Error".into() },
         TraceEvent::Accept { request: 1, class: 2 },
