Unasked answers later than their fault allows are told from those in time

Hypotheses: the stand-in sent later than its 10 ms; the node read late what had come in time; the node counted its rest from the wrong moment. So the machine made the fault longer than the test says.

Change: servers record when they send what nobody asked for, and on which connection; the run asks the node's trace when the connection came up. A foreign answer, a duplicate or a refusal of a request whose connection carried one beyond its fault before the request ended is printed with both times and not counted; nothing else is left out, and a run in which three quarters are late fails. No bound has changed.

--- a/crates/node/tests/faults_together.rs
+++ b/crates/node/tests/faults_together.rs
@@ -103,6 +103,7 @@
         record.add_attempt(ServerAttempt {
             id: id.clone(),
             server: number,
+            peer: None,
             cell: number as u64 / 2,
             at,
             time_given: Duration::from_millis(header_number("x-remaining-ms").unwrap_or(u64::MAX / 2)),
--- a/crates/node/tests/peers/many.rs
+++ b/crates/node/tests/peers/many.rs
@@ -1,6 +1,7 @@
 //! Thousands of servers in this process, each at its own address, and a measurement of the scheduling delay
 //! of the process.
 
+use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -18,7 +19,9 @@
 
 use super::dice::Rng;
 use super::record::{Record, ServerAttempt};
-use super::strays::{unsolicited_response, Delivery, ResponseFaults};
+use super::strays::{
+    unsolicited_response, Delivery, ResponseFaults, Trigger, UnsolicitedDelay, UnsolicitedSend,
+};
 use super::{answer, host};
 
 /// How soon servers answer.
@@ -219,11 +222,36 @@
     writer.lock().await.write_all(bytes).await
 }
 
-/// Writes bytes after a delay.
-async fn write_after(writer: SharedWriter, delay: Duration, bytes: Vec<u8>) {
-    tokio::time::sleep(delay).await;
-    // The node may have closed the connection.
-    let _ = write(&writer, &bytes).await;
+/// The server's end of a connection.
+#[derive(Clone)]
+struct ServerConnection {
+    server: usize,
+    /// The node's address.
+    peer: SocketAddr,
+    writer: SharedWriter,
+    record: Arc<Record>,
+}
+
+impl ServerConnection {
+    /// Writes a response that no request asked for, a delay after its trigger, which is now.
+    fn write_unsolicited(
+        &self,
+        trigger: Trigger,
+        delay: UnsolicitedDelay,
+        bytes: Vec<u8>,
+    ) -> impl Future<Output = ()> {
+        let (connection, triggered) = (self.clone(), Instant::now());
+        async move {
+            tokio::time::sleep_until((triggered + delay.drawn).into()).await;
+            let (at, wall) = (Instant::now(), SystemTime::now());
+            // The node may have closed the connection.
+            if write(&connection.writer, &bytes).await.is_ok() {
+                let Self { server, peer, record, .. } = connection;
+                let after = at - triggered;
+                record.add_unsolicited(UnsolicitedSend { server, peer, trigger, delay, after, at, wall });
+            }
+        }
+    }
 }
 
 impl ServerProcess {
@@ -246,15 +274,19 @@
         stream.set_nodelay(true)?;
         // With a linger time of 0, aborting the process resets its connections.
         SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+        let peer = stream.peer_addr()?;
         let opened = self.connections.load(Ordering::SeqCst) as u64;
         let mut rng = Rng(self.number as u64 ^ (opened << 20));
         let (read_half, write_half) = stream.into_split();
         let (mut reader, writer) = (BufReader::new(read_half), Arc::new(tokio::sync::Mutex::new(write_half)));
+        let (server, record) = (self.number, self.record.clone());
+        let connection = ServerConnection { server, peer, writer: writer.clone(), record };
         // Dropped, and so aborted, with this connection.
         let mut delayed_writes = JoinSet::new();
         let unsolicited_delay = self.faults.lock().expect("mutex poisoned").unsolicited_on_connect(&mut rng);
         if let Some(delay) = unsolicited_delay {
-            delayed_writes.spawn(write_after(writer.clone(), delay, unsolicited_response(&mut rng)));
+            let bytes = unsolicited_response(&mut rng);
+            delayed_writes.spawn(connection.write_unsolicited(Trigger::Connect, delay, bytes));
         }
         while let Some(message) = http::read(&mut reader).await? {
             if !self.timing.round_trip.is_zero() {
@@ -274,6 +306,7 @@
             self.record.add_attempt(ServerAttempt {
                 id: id.clone(),
                 server: self.number,
+                peer: Some(peer),
                 cell: self.number as u64 / 2,
                 at,
                 time_given: Duration::from_millis(remaining_ms.unwrap_or(u64::MAX / 2)),
@@ -285,19 +318,20 @@
                 write(&writer, &rejection).await?;
                 let copy = self.faults.lock().expect("mutex poisoned").rejection_copy(&mut rng);
                 if let Some(delay) = copy {
-                    delayed_writes.spawn(write_after(writer.clone(), delay, rejection));
+                    delayed_writes.spawn(connection.write_unsolicited(Trigger::Response, delay, rejection));
                 }
                 continue;
             }
             let work_ms = &self.timing.work_ms;
             tokio::time::sleep(rng.between(work_ms.start, work_ms.end)).await;
             let delivery = self.faults.lock().expect("mutex poisoned").delivery(&mut rng);
-            for delay in &delivery.unsolicited_delays {
-                delayed_writes.spawn(write_after(writer.clone(), *delay, unsolicited_response(&mut rng)));
-            }
             if !deliver(&writer, &answer(200, "", &id), &delivery).await? {
                 return Ok(());
             }
+            for delay in &delivery.unsolicited_delays {
+                let bytes = unsolicited_response(&mut rng);
+                delayed_writes.spawn(connection.write_unsolicited(Trigger::Response, *delay, bytes));
+            }
         }
         Ok(())
     }
--- a/crates/node/tests/peers/record.rs
+++ b/crates/node/tests/peers/record.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use super::strays::UnsolicitedSend;
 use super::Message;
 
 /// How long after its deadline a request may be answered before it counts as lost.
@@ -62,6 +63,8 @@
 pub struct ServerAttempt {
     pub id: String,
     pub server: usize,
+    /// The node's address of the connection, where the server records it.
+    pub peer: Option<SocketAddr>,
     /// Servers of one cell share their memory of idempotency keys.
     pub cell: u64,
     pub at: Instant,
@@ -110,12 +113,21 @@
     Left,
 }
 
+impl Rule {
+    /// Whether a response that answered another request than its own can break the rule.
+    pub fn depends_on_attribution(self) -> bool {
+        matches!(self, Self::Foreign | Self::Duplicate | Self::Refused)
+    }
+}
+
 /// A violation of a rule by a request.
 #[derive(Clone, Debug)]
 pub struct Violation {
     pub rule: Rule,
     pub id: String,
     pub node: SocketAddr,
+    /// When the request ended.
+    pub ended_at: Instant,
     details: String,
 }
 
@@ -152,6 +164,7 @@
     requests: Mutex<Vec<ClientRequest>>,
     attempts: Mutex<Vec<ServerAttempt>>,
     pauses: Mutex<Vec<Pause>>,
+    unsolicited: Mutex<Vec<UnsolicitedSend>>,
     measured_delay: Mutex<Duration>,
 }
 
@@ -179,6 +192,15 @@
         self.attempts.lock().expect("mutex poisoned").clone()
     }
 
+    pub fn add_unsolicited(&self, sent: UnsolicitedSend) {
+        self.unsolicited.lock().expect("mutex poisoned").push(sent);
+    }
+
+    /// All responses that no request asked for.
+    pub fn all_unsolicited(&self) -> Vec<UnsolicitedSend> {
+        self.unsolicited.lock().expect("mutex poisoned").clone()
+    }
+
     pub fn add_pause(&self, pause: Pause) {
         self.pauses.lock().expect("mutex poisoned").push(pause);
     }
@@ -241,7 +263,10 @@
 }
 
 fn failure(request: &ClientRequest, rule: Rule, details: String) -> Violation {
-    Violation { rule, id: request.id.clone(), node: request.node, details }
+    let ended_at = match request.end {
+        Outcome::Answered { at, .. } | Outcome::Closed { at, .. } | Outcome::Left { at } => at,
+    };
+    Violation { rule, id: request.id.clone(), node: request.node, ended_at, details }
 }
 
 /// Checks that a request got a response in time.
--- a/crates/node/tests/peers/strays.rs
+++ b/crates/node/tests/peers/strays.rs
@@ -1,8 +1,9 @@
 //! Faulty responses of servers, or of the links to them: responses that no request asked for, and broken
 //! framing.
 
+use std::net::SocketAddr;
 use std::ops::Range;
-use std::time::Duration;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use super::answer;
 use super::dice::Rng;
@@ -30,14 +31,72 @@
     Rejection { share: u64 },
 }
 
+/// By how much a timer may be late without any delay of the machine.
+const TIMER_RESOLUTION: Duration = Duration::from_millis(1);
+
 /// Draws whether a fault of this probability, in thousandths, occurs.
 fn occurs(rng: &mut Rng, share: u64) -> bool {
     rng.below(1_000) < share
 }
 
+/// The delay of a response that no request asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct UnsolicitedDelay {
+    /// The delay that was drawn.
+    pub drawn: Duration,
+    /// The longest delay that the fault allows.
+    pub max: Duration,
+}
+
 /// Draws a delay from a range in milliseconds.
-fn draw(rng: &mut Rng, delay_ms: &Range<u64>) -> Duration {
-    Duration::from_micros(delay_ms.start * 1_000 + rng.below((delay_ms.end - delay_ms.start) * 1_000))
+fn draw(rng: &mut Rng, delay_ms: &Range<u64>) -> UnsolicitedDelay {
+    let micros = delay_ms.start * 1_000 + rng.below((delay_ms.end - delay_ms.start) * 1_000);
+    UnsolicitedDelay { drawn: Duration::from_micros(micros), max: Duration::from_millis(delay_ms.end) }
+}
+
+/// What a response that no request asked for followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trigger {
+    /// The connection was opened.
+    Connect,
+    /// Another response.
+    Response,
+}
+
+/// A response that a server sent although no request asked for it.
+#[derive(Clone, Copy, Debug)]
+pub struct UnsolicitedSend {
+    pub server: usize,
+    /// The node's address of the connection.
+    pub peer: SocketAddr,
+    pub trigger: Trigger,
+    pub delay: UnsolicitedDelay,
+    /// How long after its trigger it was sent, as the server saw the trigger.
+    pub after: Duration,
+    /// When it was sent.
+    pub at: Instant,
+    /// The same on the wall clock.
+    pub wall: SystemTime,
+}
+
+impl UnsolicitedSend {
+    /// How long after its trigger it was sent. `established_ms` is when the node's end of the connection was
+    /// established, in Unix time; a busy server accepts the connection later than that.
+    pub fn delay_for_node(&self, established_ms: Option<f64>) -> Duration {
+        let since_established = |established_ms: f64| {
+            let sent_ms = self.wall.duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1_000.0;
+            Duration::from_secs_f64((sent_ms - established_ms).max(0.0) / 1_000.0)
+        };
+        match self.trigger {
+            Trigger::Connect => established_ms.map_or(self.after, since_established),
+            Trigger::Response => self.after,
+        }
+    }
+
+    /// Whether it was sent later than its fault allows, as the machine delayed the server.
+    pub fn exceeds_fault(&self, established_ms: Option<f64>) -> bool {
+        self.delay_for_node(established_ms) > self.delay.max + TIMER_RESOLUTION
+    }
 }
 
 /// A response that no request asked for: 200, a rejection (503) or 500.
@@ -53,7 +112,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Delivery {
     /// Delays, after the response, of further responses that no request asked for.
-    pub unsolicited_delays: Vec<Duration>,
+    pub unsolicited_delays: Vec<UnsolicitedDelay>,
     /// An interim response precedes it.
     pub has_interim: bool,
     pub is_repeated: bool,
@@ -74,7 +133,7 @@
     }
 
     /// After which delay a response that no request asked for is sent on a new connection, if one is.
-    pub fn unsolicited_on_connect(&self, rng: &mut Rng) -> Option<Duration> {
+    pub fn unsolicited_on_connect(&self, rng: &mut Rng) -> Option<UnsolicitedDelay> {
         self.0.iter().find_map(|fault| match fault {
             ResponseFault::OnConnect { share, delay_ms } => occurs(rng, *share).then(|| draw(rng, delay_ms)),
             _ => None,
@@ -82,7 +141,7 @@
     }
 
     /// After which delay a rejection is sent a second time, if it is.
-    pub fn rejection_copy(&self, rng: &mut Rng) -> Option<Duration> {
+    pub fn rejection_copy(&self, rng: &mut Rng) -> Option<UnsolicitedDelay> {
         self.0.iter().find_map(|fault| match fault {
             ResponseFault::CopiedRejection { share, delay_ms } => {
                 occurs(rng, *share).then(|| draw(rng, delay_ms))
--- a/crates/node/tests/whose_answer.rs
+++ b/crates/node/tests/whose_answer.rs
@@ -7,16 +7,18 @@
 
 mod peers;
 
+use std::collections::HashMap;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use glenwood_trace::TraceEvent;
 use peers::dice::Rng;
 use peers::list_service::ListService;
 use peers::many::{SchedulingDelay, ServerPool, ServerTiming};
 use peers::record::*;
-use peers::strays::{ResponseFault, ResponseFaults};
+use peers::strays::{ResponseFault, ResponseFaults, UnsolicitedSend};
 use peers::*;
 use serde_json::{json, Value};
 
@@ -30,6 +32,9 @@
 const KEEPALIVE_MS: f64 = 800.0;
 /// The share of requests that must at least be served, as a node that refuses everything breaks no rule.
 const MIN_SERVED_SHARE: f64 = 0.85;
+/// The share of the responses that no request asked for that must be sent as early as their fault says, as a
+/// run without faults shows nothing.
+const MIN_TIMELY_SHARE: f64 = 0.25;
 /// How many lines of a node's log are printed for a violation.
 const TIMELINE_LINES: usize = 30;
 
@@ -150,6 +155,45 @@
         }
     }
 
+    /// The responses that no request asked for, each with whether the machine delayed it beyond its fault.
+    fn unsolicited(&self) -> Vec<(UnsolicitedSend, bool)> {
+        let mut established: HashMap<String, Vec<f64>> = HashMap::new();
+        for line in self.nodes.iter().flat_map(|node| node.grep_log(|line| line.contains(" connected "))) {
+            let Some(record) = glenwood_trace::Record::find(&line) else { continue };
+            if let TraceEvent::Connected { local, .. } = record.event {
+                established.entry(local).or_default().push(record.at);
+            }
+        }
+        let exceeds_fault = |sent: UnsolicitedSend| {
+            let times = established.get(&sent.peer.to_string());
+            // A port that was used again doesn't tell which connection it was.
+            let established_ms = times.filter(|times| times.len() == 1).map(|times| times[0]);
+            (sent, sent.exceeds_fault(established_ms))
+        };
+        self.record.all_unsolicited().into_iter().map(exceeds_fault).collect()
+    }
+
+    /// The response, sent later than its fault allows, that came on a connection of the violating request
+    /// before the request ended: it and all later answers there may belong to other requests.
+    fn cause_beyond_fault(
+        &self,
+        violation: &Violation,
+        unsolicited: &[(UnsolicitedSend, bool)],
+    ) -> Option<UnsolicitedSend> {
+        if !violation.rule.depends_on_attribution() {
+            return None;
+        }
+        let attempts = self.record.all_attempts();
+        let is_on_same_connection = |sent: &UnsolicitedSend| {
+            let mut of_request = attempts.iter().filter(|attempt| attempt.id == violation.id);
+            of_request.any(|attempt| (attempt.server, attempt.peer) == (sent.server, Some(sent.peer)))
+        };
+        let is_cause = |(sent, exceeds_fault): &&(UnsolicitedSend, bool)| {
+            *exceeds_fault && sent.at <= violation.ended_at && is_on_same_connection(sent)
+        };
+        unsolicited.iter().find(is_cause).map(|(sent, _)| *sent)
+    }
+
     /// What a node has logged about a request, and about answers out of turn until then.
     fn timeline(&self, violation: &Violation) -> String {
         let Some(node) = self.nodes.iter().find(|node| node.address == violation.node) else {
@@ -196,18 +240,29 @@
     });
     cluster.record.set_test_delay(driver_delay.longest());
     let (asked, served) = cluster.record.counts();
-    let rule_violations = cluster.record.violations(|_, _| true);
+    let unsolicited = cluster.unsolicited();
+    let mut rule_violations = cluster.record.violations(|_, _| true);
+    rule_violations.retain(|violation| {
+        let cause = cluster.cause_beyond_fault(violation, &unsolicited);
+        if let Some(sent) = cause {
+            println!("{label}, seed {seed}: beyond the fault: {violation}; {sent:?}");
+            println!("  {}", cluster.timeline(violation));
+        }
+        cause.is_none()
+    });
     let count = |rule| rule_violations.iter().filter(|violation| violation.rule == rule).count();
     println!(
         "{label}, seed {seed}: {} foreign, {} duplicate, {} refused, {} lost, {} others; {served} of {asked} served; {} connections; \
-         driver late by {:.0?}",
+         driver late by {:.0?}; {} of {} unsolicited responses late",
         count(Rule::Foreign),
         count(Rule::Duplicate),
         count(Rule::Refused),
         count(Rule::Lost),
         count(Rule::Drain) + count(Rule::Deadline) + count(Rule::Left),
         cluster.servers.connection_count(),
-        driver_delay.longest()
+        driver_delay.longest(),
+        unsolicited.iter().filter(|(_, exceeds_fault)| *exceeds_fault).count(),
+        unsolicited.len()
     );
     let describe = |violation: &Violation| {
         format!("{label}, seed {seed}: {violation}\n  {}", cluster.timeline(violation))
@@ -216,6 +271,12 @@
     if (served as f64) < MIN_SERVED_SHARE * asked as f64 {
         violations.push(format!("{label}, seed {seed}: {served} of {asked} requests served"));
     }
+    let timely = unsolicited.iter().filter(|(_, exceeds_fault)| !exceeds_fault).count();
+    if (timely as f64) < MIN_TIMELY_SHARE * unsolicited.len() as f64 {
+        let sent = unsolicited.len();
+        violations
+            .push(format!("{label}, seed {seed}: {timely} of {sent} unsolicited responses were in time"));
+    }
     (violations, cluster.servers.connection_count())
 }
 
@@ -261,6 +322,15 @@
     );
 }
 
+/// Guards against the same where it arrives when the first request may be written already.
+#[test]
+fn an_unasked_answer_that_comes_late_on_a_new_connection_answers_no_request() {
+    assert_rules_hold(
+        "new connection, 12 to 30 ms",
+        &[TURNS_AWAY, ResponseFault::OnConnect { share: 200, delay_ms: 12..30 }],
+    );
+}
+
 /// Guards against a second answer that arrives while the next request is pending on its connection.
 #[test]
 fn a_second_answer_that_comes_late_answers_no_request() {
