The calls of a client that does not read are made before it connects

What was seen: a_client_that_does_not_read_answers_is_not_read_from failed in 6 of 6 runs on an arm64 machine, "the node read all calls". Evidence: the node closed the connection as silent after 1.8 s, as the test connects and then takes longer than that, in a debug build, to write down 200,000 calls; what it sends afterwards is read and thrown away by the closing node. Change: the calls are made first; nothing else. The node's memory and its refusal to read are asserted as before.

--- a/crates/node/tests/msgpack.rs
+++ b/crates/node/tests/msgpack.rs
@@ -717,6 +717,11 @@
 /// limits.
 #[test]
 fn a_client_that_does_not_read_answers_is_not_read_from() {
+    // 83 MB of calls, most of them refused at once because a call with the same id is open: far more answers
+    // than the buffers hold, and more calls than the kernel may buffer (4 MB at the client, 32 MB at the
+    // node). Made before the client connects, as the node closes a connection that stays silent.
+    let calls: Vec<u8> =
+        (0..200_000).flat_map(|n| Ask::new("slip", Effect::Unsafe, "t", 60_000).rpc(n).to_vec()).collect();
     let ledger = Ledger::new(WAIT_TIMEOUT);
     let server = start_stand_in("s0", Protocol::Rpc, Step::Serve, &ledger);
     let discovery = Discovery::start(&[active(&server)]);
@@ -731,11 +736,6 @@
     socket.connect(&node.address_for(Protocol::Rpc).into()).expect("the node listens");
     let mut non_reading: std::net::TcpStream = socket.into();
     non_reading.set_write_timeout(Some(Duration::from_secs(3))).expect("a socket");
-    // 83 MB of calls, most of them refused at once because a call with the same id is open: far more answers
-    // than the buffers hold, and more calls than the kernel may buffer (4 MB at the client, 32 MB at the
-    // node).
-    let calls: Vec<u8> =
-        (0..200_000).flat_map(|n| Ask::new("slip", Effect::Unsafe, "t", 60_000).rpc(n).to_vec()).collect();
     let is_stuck = (0..5).any(|_| std::io::Write::write_all(&mut non_reading, &calls).is_err());
     assert!(is_stuck, "the node read all calls");
     let growth = node.resident_bytes().saturating_sub(before);
