The probe's test waits until the node has no server to send to

Hypothesis: the test goes on at the first request that is not served, which may be one that was out when the connection ended; that fails, and takes no server out, which is right, as a reset says nothing of the next connection. Change: the test waits for a refusal, which needs a refused connection, the evidence that takes a server out; its assertion stays.

--- a/crates/node/tests/msgpack.rs
+++ b/crates/node/tests/msgpack.rs
@@ -814,7 +814,8 @@
     };
     assert!(matches!(ask(), Answer::Served(_)));
     drop(first);
-    until("the node notices that the server is down", || !matches!(ask(), Answer::Served(_)));
+    // A request that was out when the connection ended fails; that alone takes no server out of rotation.
+    until("the node finds no server to send to", || matches!(ask(), Answer::Refused(_)));
     let _back = StandIn::start_at(socket_address, identity, always(Step::Serve), ledger.clone());
     until("the server is back in rotation", || matches!(ask(), Answer::Served(_)));
     assert!(ledger.probes() > 0);
