Local names of the tests' record, and a doc comment within its width

Need: `breaches` is of an earlier house style, and a doc comment was 146 characters wide. Change: names of locals, one comment.

--- a/crates/exchange/src/response_time.rs
+++ b/crates/exchange/src/response_time.rs
@@ -210,8 +210,8 @@
         }
     }
 
-    /// If a response of this kind is implausibly early, or may be a copy of the one before it, returns the time after its request within which the
-    /// true response would arrive.
+    /// If a response of this kind is implausibly early, or may be a copy of the one before it, returns the
+    /// time after its request within which the true response would arrive.
     pub fn true_response_within(
         &self,
         server: K,
--- a/crates/node/tests/peers/record.rs
+++ b/crates/node/tests/peers/record.rs
@@ -251,14 +251,14 @@
         let requests = self.requests.lock().expect("mutex poisoned");
         let pauses = self.pauses.lock().expect("mutex poisoned");
         let delay = self.test_delay();
-        let breaches = |request: &ClientRequest| {
+        let violations_of = |request: &ClientRequest| {
             let attempts = by_id.get(&request.id).map_or(&[][..], Vec::as_slice);
             let is_accepted = || !attempts.is_empty() || is_accepted(request.node, &request.id);
             let of_response =
                 check_lost(request, delay, is_accepted).into_iter().chain(check_response(request, attempts));
             of_response.chain(check_attempts(request, attempts, &pauses, delay)).collect::<Vec<_>>()
         };
-        requests.iter().flat_map(breaches).collect()
+        requests.iter().flat_map(violations_of).collect()
     }
 }
 
@@ -317,8 +317,8 @@
     pauses: &[Pause],
     delay: Duration,
 ) -> Vec<Violation> {
-    let mut breaches = Vec::new();
-    let mut add = |rule, details| breaches.push(failure(request, rule, details));
+    let mut violations = Vec::new();
+    let mut add = |rule, details| violations.push(failure(request, rule, details));
     let executed: Vec<&ServerAttempt> = attempts.iter().filter(|attempt| attempt.is_executed).collect();
     let in_several_cells = executed.iter().any(|attempt| attempt.cell != executed[0].cell);
     if (request.class == "slip" && executed.len() > 1) || (request.class == "pay" && in_several_cells) {
@@ -348,5 +348,5 @@
             }
         }
     }
-    breaches
+    violations
 }
