Custody: a work whose clients have left is not sent by whoever takes it over

Cause: the record at the keepers has how long a client waits, and a takeover with less than 30 ms of that releases the work, but the holder never changed it when the last client left (`Custody::on_waiters_changed`). Change: the holder writes it with the next version of its record, whatever is being written then, and a later time when a client comes back; the wire form stays. Why it works: a takeover reads the newest record of a majority.

A keeper's report has client_wait_ms, by which the test knows that keepers were told. Open: a node that is lost before most keepers know.

--- a/crates/custody/src/coordinator.rs
+++ b/crates/custody/src/coordinator.rs
@@ -106,7 +106,7 @@
         ticket: Ticket,
         /// Attempts that earlier holders intended to send, each with its age in milliseconds.
         earlier: Vec<(IntendedAttempt, u64)>,
-        /// The fixed properties of the work.
+        /// The properties of the work.
         about: WorkDescription,
         /// The request as it was stored at the keepers.
         body: Bytes,
@@ -480,6 +480,35 @@
         }
     }
 
+    /// No client at this node waits for a work that it holds any more. Whoever takes the work over is told so
+    /// by the keepers, and sends nothing for a client that has gone.
+    pub fn client_left(&mut self, now: u64, ticket: Ticket) {
+        self.write_client_wait(now, ticket, |elapsed, recorded| (recorded > elapsed).then_some(elapsed));
+    }
+
+    /// A client waits again, for this long, for a work that this node holds.
+    pub fn client_returned(&mut self, now: u64, ticket: Ticket, remaining_ms: u64) {
+        self.write_client_wait(now, ticket, |elapsed, recorded| {
+            (recorded <= elapsed).then_some(elapsed + remaining_ms)
+        });
+    }
+
+    /// Records how long a client waits, if `new_wait` returns that, given the time since the work began and
+    /// what is recorded.
+    fn write_client_wait(
+        &mut self,
+        now: u64,
+        ticket: Ticket,
+        new_wait: impl FnOnce(u64, u64) -> Option<u64>,
+    ) {
+        let Some(entry) = self.entries.get_mut(&ticket) else { return };
+        let Some(recorded) = entry.proposer.record().map(|record| record.about.remaining_ms) else { return };
+        let Some(wait) = new_wait(now.saturating_sub(entry.began), u64::from(recorded)) else { return };
+        if entry.proposer.write_client_wait(u32::try_from(wait).unwrap_or(u32::MAX)) {
+            self.advance(now, ticket);
+        }
+    }
+
     // ---- Keeper replies ----
 
     /// Handles a keeper's reply.
--- a/crates/custody/src/proposer.rs
+++ b/crates/custody/src/proposer.rs
@@ -88,7 +88,7 @@
 pub struct Proposer {
     local: Incarnation,
     keepers: Keepers,
-    /// The fixed properties of the work, if it was submitted at this node.
+    /// The properties of the work, if it was submitted at this node.
     about: Option<WorkDescription>,
     /// The highest round seen.
     round: u64,
@@ -424,6 +424,19 @@
         }
     }
 
+    /// Records for how long, counted from the beginning of the work, a client waits. What is being written
+    /// stays so, and is written again with it. Returns `false` if this node does not hold the work, or is about
+    /// to end it.
+    pub fn write_client_wait(&mut self, wait_ms: u32) -> bool {
+        let State::Holding { purpose, .. } = &self.state else { return false };
+        let purpose = match *purpose {
+            Purpose::Claim | Purpose::Idle => Purpose::Claim,
+            Purpose::Intent => Purpose::Intent,
+            Purpose::Verdict(_) | Purpose::Release => return false,
+        };
+        self.write_record(purpose, |record| record.about.remaining_ms = wait_ms)
+    }
+
     /// Writes the final verdict. Returns `false` if this node does not hold the work.
     pub fn write_verdict(&mut self, verdict: Verdict) -> bool {
         self.write_record(Purpose::Verdict(verdict), |record| record.verdict = Some(verdict))
--- a/crates/custody/src/register.rs
+++ b/crates/custody/src/register.rs
@@ -102,14 +102,14 @@
     MayHaveRun,
 }
 
-/// The fixed properties of a work.
+/// The properties of a work; all but the time that a client waits are fixed.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 pub struct WorkDescription {
     /// The effect of its class.
     pub effect: Effect,
     /// Name of its class.
     pub class: String,
-    /// How long the first client waits, counted from the beginning of the work.
+    /// How long a client waits, counted from the beginning of the work; it ends early if all clients leave.
     pub remaining_ms: u32,
     /// The request, if it is short enough to be stored at the keepers.
     pub request: Option<Blob>,
@@ -125,7 +125,7 @@
     pub sent: Vec<IntendedAttempt>,
     /// The final verdict, if there is one.
     pub verdict: Option<Verdict>,
-    /// The fixed properties.
+    /// The properties.
     pub about: WorkDescription,
 }
 
--- a/crates/custody/tests/explored.rs
+++ b/crates/custody/tests/explored.rs
@@ -54,6 +54,8 @@
     /// Verdicts that any node reported.
     reported: BTreeSet<Verdict>,
     restarted: bool,
+    /// The clients of the first node have left.
+    has_left: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -73,6 +75,8 @@
     NeverRan(usize),
     /// This keeper loses its state.
     Restart(usize),
+    /// The clients of this node, which holds the work, leave.
+    ClientsLeave(usize),
 }
 
 /// A safeguard that is disabled to check that the properties detect its absence.
@@ -100,6 +104,8 @@
     /// never, which leaves far fewer states: a node reacts to an answer by sending requests, and those
     /// are delayed in either case.
     delay_answers: bool,
+    /// The clients of the first node may leave at any time.
+    clients_leave: bool,
     disabled: Disabled,
 }
 
@@ -220,6 +226,7 @@
             sent_attempts: vec![0; self.nodes],
             reported: BTreeSet::new(),
             restarted: false,
+            has_left: false,
         }]
     }
 
@@ -250,6 +257,10 @@
         if self.restarts && !state.restarted {
             actions.push(Action::Restart(0));
         }
+        let is_held = || state.nodes[0].proposer.as_ref().is_some_and(Proposer::is_holder);
+        if self.clients_leave && !state.has_left && is_held() {
+            actions.push(Action::ClientsLeave(0));
+        }
     }
 
     fn next_state(&self, before: &State, action: Action) -> Option<State> {
@@ -322,6 +333,11 @@
                 state.keepers[k] = (self.disabled == Disabled::RestartDelay).then(Acceptor::default);
                 state.restarted = true;
             }
+            Action::ClientsLeave(n) => {
+                state.nodes[n].proposer.as_mut()?.write_client_wait(0);
+                state.has_left = true;
+                self.process_node(&mut state, n);
+            }
         }
         Self::drop_ineffective_messages(&mut state);
         (state != *before).then_some(state)
@@ -417,6 +433,7 @@
             max_attempts: 2,
             restarts: true,
             delay_answers: true,
+            clients_leave: false,
             disabled: Disabled::Nothing,
         };
         let (states, failed) = explore(case, max_states(300_000));
@@ -441,6 +458,7 @@
             max_attempts: 1,
             restarts,
             delay_answers: false,
+            clients_leave: false,
             disabled,
         };
         let (_, failed) = explore(case, max_states(3_000_000));
@@ -459,6 +477,7 @@
                 max_attempts: 2,
                 restarts,
                 delay_answers: false,
+                clients_leave: false,
                 disabled: Disabled::Nothing,
             };
             let (states, failed) = explore(case, max_states(1_000_000));
@@ -466,3 +485,23 @@
         }
     }
 }
+
+/// Guards against an intent, a verdict or a takeover that goes wrong where the record is written again amid
+/// it, as the clients leave.
+#[test]
+fn properties_hold_where_the_clients_leave_at_any_step() {
+    for effect in [Effect::Unsafe, Effect::Keyed] {
+        let case = Case {
+            effect,
+            nodes: 2,
+            max_rounds: 2,
+            max_attempts: 2,
+            restarts: false,
+            delay_answers: false,
+            clients_leave: true,
+            disabled: Disabled::Nothing,
+        };
+        let (states, failed) = explore(case, max_states(1_000_000));
+        assert!(failed.is_empty() && states > 1000, "{failed:?}");
+    }
+}
--- a/crates/node/src/custody/mod.rs
+++ b/crates/node/src/custody/mod.rs
@@ -515,6 +515,11 @@
             numbers: HashMap::new(),
         }
     }
+
+    /// When the last of the waiting clients stops waiting, in milliseconds; `None` if none waits.
+    fn waited_for_until(&self) -> Option<u64> {
+        self.waiting.iter().map(|client| client.until).max()
+    }
 }
 
 impl Gate for Custody {
@@ -570,7 +575,7 @@
             local.waiting.push(WaitingClient { number, waiter, until });
         }
         let request = self.local_works.borrow().get(&ticket).and_then(|local| local.request);
-        request.into_iter().for_each(|request| self.hub.client_attached(request));
+        request.into_iter().for_each(|request| self.on_client_returned(ticket, request));
         self.pump_and_notify();
         Ok(number)
     }
--- a/crates/node/src/custody/report.rs
+++ b/crates/node/src/custody/report.rs
@@ -29,6 +29,7 @@
                     "age_ms": age,
                     "class": record.map(|record| record.about.class.clone()),
                     "effect": record.map(|record| record.about.effect),
+                    "client_wait_ms": record.map(|record| record.about.remaining_ms),
                     "holder": holder.map(|life| name.map_or(format!("{:016x}", life.node.0), |(m, _)| m.name)),
                     "life": holder.map(|life| format!("{:016x}", life.number)),
                     "lost": holder.map(|life| coordinator.is_lost(now, life)),
--- a/crates/node/src/custody/waiters.rs
+++ b/crates/node/src/custody/waiters.rs
@@ -2,8 +2,9 @@
 
 use glenwood_core::{AttemptId, Final};
 use glenwood_custody::Ticket;
+use glenwood_policy::RequestId;
 
-use super::Custody;
+use super::{Custody, LocalWork};
 use crate::call::Reply;
 use crate::hub::Waiter;
 
@@ -42,7 +43,7 @@
                 }
                 to.waiting.extend(local.waiting);
                 drop(all);
-                request.into_iter().for_each(|request| self.hub.client_attached(request));
+                request.into_iter().for_each(|request| self.on_client_returned(other, request));
             }
             None => {
                 drop(all);
@@ -71,7 +72,10 @@
                 self.release_work(ticket);
                 self.drop_local(ticket);
             }
-            Some(request) => self.hub.client_detached(request),
+            Some(request) => {
+                self.hub.client_detached(request);
+                self.coordinator.borrow_mut().client_left(self.now(), ticket);
+            }
             None if !self.coordinator.borrow().is_holder(ticket) => {
                 self.coordinator.borrow_mut().abandon(self.now(), ticket);
             }
@@ -80,6 +84,16 @@
         self.pump_and_notify();
     }
 
+    /// A client waits for a work that this node works on, perhaps after all others have left.
+    pub(super) fn on_client_returned(&self, ticket: Ticket, request: RequestId) {
+        self.hub.client_attached(request);
+        let now = self.now();
+        let until = self.local_works.borrow().get(&ticket).and_then(LocalWork::waited_for_until);
+        if let Some(until) = until {
+            self.coordinator.borrow_mut().client_returned(now, ticket, until.saturating_sub(now));
+        }
+    }
+
     /// Has no server begun with this work, as far as this node's attempts go?
     pub(super) fn is_unsent(&self, ticket: Ticket) -> bool {
         let attempts: Vec<AttemptId> = self
--- a/crates/node/tests/custody.rs
+++ b/crates/node/tests/custody.rs
@@ -17,7 +17,7 @@
 use glenwood_testkit::script::{Script, Step};
 use glenwood_testkit::{runtime, until};
 use peers::count_sockets;
-use serde_json::json;
+use serde_json::{json, Value};
 
 /// What a node logs before the address of the socket from which it queries keepers.
 const CUSTODY_ADDRESS_PREFIX: &str = "custody: asks from ";
@@ -44,6 +44,19 @@
     plan
 }
 
+/// The same with deadlines so long that nothing expires during a test.
+fn with_longer_deadlines(mut plan: Plan) -> Plan {
+    plan.adjust_settings = |settings| {
+        for class in settings["Classes"].as_array_mut().expect("classes") {
+            (class["Deadline"], class["Slo"]) = (json!(4000), json!(8000));
+        }
+    };
+    let default_operator = plan.operator;
+    plan.operator =
+        Box::new(move |rig, n| default_operator(rig, n).replace("life_ms = 4000", "life_ms = 8000"));
+    plan
+}
+
 /// A rig that runs alone: the load of other rigs would look like stalls to each of them.
 struct ExclusiveRig {
     rig: Arc<Rig>,
@@ -161,17 +174,7 @@
 #[test]
 fn a_work_whose_client_left_before_it_was_sent_is_released() {
     let script: Script = Arc::new(|seen| if seen.txn.starts_with("hold") { Step::Hold } else { Step::Serve });
-    let mut plan = plan(6, 1, 6, script);
-    // Long enough that nothing expires during the test.
-    plan.adjust_settings = |settings| {
-        for class in settings["Classes"].as_array_mut().expect("classes") {
-            (class["Deadline"], class["Slo"]) = (json!(4000), json!(8000));
-        }
-    };
-    let default_operator = plan.operator;
-    plan.operator =
-        Box::new(move |rig, n| default_operator(rig, n).replace("life_ms = 4000", "life_ms = 8000"));
-    let rig = start_rig(plan, 6);
+    let rig = start_rig(with_longer_deadlines(plan(6, 1, 6, script)), 6);
     let longer = |ask: Ask| Ask { remaining_ms: 3500, ..ask };
     for (kind, make_request) in [("slip", slip as fn(&str, &str, bool) -> Ask), ("pay", pay)] {
         let [hold_txn, left_txn, next_txn] = ["hold", "left", "next"].map(|word| format!("{word}-{kind}"));
@@ -228,6 +231,33 @@
     assert_eq!(rig.ledger.runs_of_key("key-w"), 1);
 }
 
+/// Guards against an attempt that another node begins for a client that has gone: the client of a work leaves
+/// while its attempt is out, and then its node is lost.
+#[test]
+fn a_work_whose_client_left_is_not_sent_again_by_whoever_takes_it_over() {
+    let is_left = |txn: &str| txn.starts_with("left");
+    let script: Script = Arc::new(move |seen| if is_left(&seen.txn) { Step::Hold } else { Step::Serve });
+    let rig = start_rig(with_longer_deadlines(plan(6, 4, 6, script)), 6);
+    let orphans = || rig.running().iter().filter_map(|n| rig.metric(*n, "custody_orphans")).sum::<u64>();
+    let before = orphans();
+    let works = |n: usize| rig.report(n).map(|report| report["custody"]["works"].clone()).unwrap_or_default();
+    // The first report of each node takes long, so it is made before the test needs one.
+    (1..6).for_each(|n| drop(works(n)));
+    let first = send_request(&rig, 0, Ask { remaining_ms: 3500, ..pay("w", "left", false) });
+    until("it is at a server", || rig.ledger.count_of("left").attempts == 1);
+    until("its node holds the work", || rig.metric(0, "custody_mine") == Some(1));
+    first.abort();
+    until("its node sees that the client left", || count_sockets(Some(rig.address(0)), None) == 0);
+    let is_over = |work: &Value| work["client_wait_ms"].as_u64() < work["age_ms"].as_u64();
+    let knows = |n: &usize| works(*n).as_array().is_some_and(|works| works.iter().any(is_over));
+    until("most keepers know that nobody waits", || (1..6).filter(knows).count() >= 3);
+    rig.apply_fault(&Fault::Kill(0));
+    until("another node has taken the work over", || orphans() > before);
+    let kept = || rig.running().iter().filter_map(|n| rig.metric(*n, "custody_kept")).sum::<u64>();
+    until("no keeper has the work any more", || kept() == 0);
+    assert_eq!(rig.ledger.count_of("left").attempts, 1, "it was sent for a client that had gone");
+}
+
 #[test]
 fn a_repeat_joins_the_work_while_its_holder_lives() {
     let rig = start_rig(plan(6, 4, 6, serve_after(500)), 6);
