--- a/crates/node/tests/whose_answer.rs
+++ b/crates/node/tests/whose_answer.rs
@@ -7,7 +7,8 @@
 
 mod peers;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -174,7 +175,8 @@
     }
 
     /// The response, sent later than its fault allows, that came on a connection of the violating request
-    /// before the request ended: it and all later answers there may belong to other requests.
+    /// before the request ended: it and all later answers there may belong to other requests. `None` if the
+    /// first such response on any of the request's connections was in time, as that may be the cause.
     fn cause_beyond_fault(
         &self,
         violation: &Violation,
@@ -184,14 +186,17 @@
             return None;
         }
         let attempts = self.record.all_attempts();
-        let is_on_same_connection = |sent: &UnsolicitedSend| {
-            let mut of_request = attempts.iter().filter(|attempt| attempt.id == violation.id);
-            of_request.any(|attempt| (attempt.server, attempt.peer) == (sent.server, Some(sent.peer)))
+        let of_request = attempts.iter().filter(|attempt| attempt.id == violation.id);
+        let connections: HashSet<_> = of_request.filter_map(|a| Some((a.server, a.peer?))).collect();
+        let first_on = |(server, peer): &(usize, SocketAddr)| {
+            let is_on_it = |(sent, _): &&(UnsolicitedSend, bool)| {
+                (sent.server, sent.peer) == (*server, *peer) && sent.at <= violation.ended_at
+            };
+            unsolicited.iter().filter(is_on_it).min_by_key(|(sent, _)| sent.at)
         };
-        let is_cause = |(sent, exceeds_fault): &&(UnsolicitedSend, bool)| {
-            *exceeds_fault && sent.at <= violation.ended_at && is_on_same_connection(sent)
-        };
-        unsolicited.iter().find(is_cause).map(|(sent, _)| *sent)
+        let first: Vec<_> = connections.iter().filter_map(first_on).collect();
+        let all_exceed_fault = first.iter().all(|(_, exceeds_fault)| *exceeds_fault);
+        first.first().filter(|_| all_exceed_fault).map(|(sent, _)| *sent)
     }
 
     /// What a node has logged about a request, and about answers out of turn until then.
