The coordination peer's test waits for the first call of its watch, and ends when it fails

Cause: kazoo's DataWatch makes its first call at once, but where the entry is created between its get and its exists it returns and makes it later, so the list is still empty. Change: the wait takes an empty list for "not yet"; a failure prints its traceback and ends the script with 1. No check has changed.

--- a/crates/glenctl/tests/python/coordination.py
+++ b/crates/glenctl/tests/python/coordination.py
@@ -12,6 +12,7 @@
 import sys
 import threading
 import time
+import traceback
 
 from kazoo.client import KazooClient
 from kazoo.exceptions import BadVersionError, NodeExistsError, NoNodeError, NotEmptyError, RolledBackError
@@ -138,7 +139,8 @@
         try:
             seen = []
             DataWatch(client, "/servers/s1", lambda data, stat: seen.append(data and (json.loads(data), stat.ephemeralOwner)))
-            until("the server is registered", lambda: seen[-1])
+            # The first call of the watch comes later if the entry is created while the watch is being set.
+            until("the server is registered", lambda: seen and seen[-1])
             entry, owner = seen[-1]
             assert (entry["dial"], entry["block"], entry["health"]) == (address, 4, "active") and owner, entry
             process.send_signal(signal.SIGTERM)
@@ -202,4 +204,10 @@
 if __name__ == "__main__":
     if sys.argv[1:2] == ["--brief"]:
         create_ephemeral_and_exit(sys.argv[2:])
-    main()
+    try:
+        main()
+    except BaseException:
+        # The threads of clients that were not stopped would keep the process alive.
+        traceback.print_exc()
+        sys.stderr.flush()
+        os._exit(1)
