--- a/crates/node/tests/peers/mod.rs
+++ b/crates/node/tests/peers/mod.rs
@@ -104,6 +104,26 @@
     After(Duration, Vec<u8>),
     /// Sends no response and keeps the connection open.
     Nothing,
+    /// Responds in pieces.
+    Pieces(Pieces),
+}
+
+/// A response that is written piece by piece.
+pub struct Pieces {
+    pub pieces: Vec<Vec<u8>>,
+    /// How long the server pauses after each piece.
+    pub pause: Duration,
+    /// Whether the server closes the connection after the last piece.
+    pub closes: bool,
+}
+
+/// Writes a response piece by piece; returns whether all of it was written.
+fn write_pieces(writer: &mut TcpStream, response: &Pieces) -> bool {
+    response.pieces.iter().all(|piece| {
+        let is_written = writer.write_all(piece).is_ok();
+        std::thread::sleep(response.pause);
+        is_written
+    })
 }
 
 /// An HTTP server whose responses are scripted; it records every request.
@@ -191,6 +211,12 @@
                 (bytes, false)
             }
             Reply::Nothing => (Vec::new(), false),
+            Reply::Pieces(response) => {
+                if !write_pieces(&mut writer, &response) || response.closes {
+                    break;
+                }
+                continue;
+            }
         };
         if writer.write_all(&bytes).is_err() || closes {
             break;
