A long answer of undeclared length is forwarded in time while its server still writes it

What callers saw: an answer of 145 kB that came in lumps, chunked or up to the close, was refused at the client's deadline while its server was writing it (12 of 12), or came only after 64 KiB were there (first byte after 2.6 s at 25 kB/s).

Cause: send_and_receive (backend/http1/answer.rs) held an answer without a length until it was whole or longer than 64 KiB, and the end of the attempt cut it off.

Change: forwarding.rs decides. An answer is forwarded after one second, or 25 ms before its attempt ends, if its body has come at 16 kB/s or more (a quarter of the slow peer's rate, as for uploads) since its first byte, less 0.25 s. What trickles more slowly, or stalls, is held as before: a short answer is timed by its last byte, and one that never ends is no answer. Clients over MessagePack-RPC get whole messages only, as before. The end of an exchange is a module of its own (time_limit.rs). New: figures answers_cut_off and answers_in_parts, and a line for each answer that is given up while it arrives.

Why it works: what the buffer is for, a repeat while nothing has been forwarded, is worth nothing at the end of the attempt. Cost where no answer is slow: none, as whole answers take the same way. A slow one of undeclared length is no longer repeated if it breaks off after a second.

--- a/crates/node/src/backend/http1/answer.rs
+++ b/crates/node/src/backend/http1/answer.rs
@@ -18,6 +18,7 @@
 use hyper::{HeaderMap, Request, StatusCode, Version};
 use tokio::time::Sleep;
 
+use super::forwarding::Buffering;
 use super::pool::Link;
 use super::Servers;
 use crate::blocks::OutgoingBody;
@@ -137,6 +138,9 @@
         };
         match (outcome, attempt) {
             (Outcome::Done, Some(attempt)) => {
+                if !self.framing.is_long() && self.read.len() <= MAX_BUFFERED_BODY_BYTES {
+                    servers.hub.figures.with(|figures| figures.answers_in_parts += 1);
+                }
                 let streamed = StreamedBody {
                     buffered: self.read,
                     rest,
@@ -316,11 +320,13 @@
     }
 }
 
-/// Writes a request and reads the answer, up to its end or until it is too long to buffer. Never sends the
-/// request again or starts a second one on the connection.
+/// Writes a request and reads the answer, up to its end or until it is to be forwarded in part: because it is
+/// too long to buffer, or by `buffering`, if the client accepts an answer in parts. Never sends the request
+/// again or starts a second one on the connection.
 pub async fn send_and_receive(
     link: &mut Link,
     request: Request<OutgoingBody>,
+    buffering: Option<Buffering<'_>>,
 ) -> Result<ReceivedAnswer, ExchangeError> {
     let Link { send, conn, is_over, .. } = link;
     let transfer = async {
@@ -332,18 +338,10 @@
         if matches!(framing, Framing::Length(length) if length > MAX_BODY_BYTES as u64) {
             return Err(ExchangeError::Garbled);
         }
-        let (mut read, mut is_complete) = (BytesMut::new(), false);
-        // For an answer with a long declared length the head is enough; its first body bytes are not waited
-        // for.
-        while !is_complete && !framing.is_long() && read.len() <= MAX_BUFFERED_BODY_BYTES {
-            match body.frame().await.transpose()? {
-                Some(frame) => read.extend_from_slice(&frame.into_data().unwrap_or_default()),
-                None => is_complete = true,
-            }
-        }
+        let (read, is_complete) = buffer_body(&mut body, framing, buffering).await?;
         let rest = (!is_complete).then_some(body);
         let headers = end_to_end(&parts.headers);
-        let (status, read, may_reuse) = (parts.status, read.freeze(), !closes);
+        let (status, may_reuse) = (parts.status, !closes);
         Ok::<_, ExchangeError>(ReceivedAnswer { status, headers, framing, read, rest, may_reuse })
     };
     let mut received = drive(conn, is_over, transfer).await?;
@@ -353,6 +351,32 @@
     Ok(received)
 }
 
+/// Reads a body as far as it is to be buffered; returns what was read and whether that is all of it.
+async fn buffer_body(
+    body: &mut Incoming,
+    framing: Framing,
+    buffering: Option<Buffering<'_>>,
+) -> Result<(Bytes, bool), hyper::Error> {
+    // A declared length shows in advance whether the body is long.
+    let mut buffering = buffering.filter(|_| !matches!(framing, Framing::Length(_)));
+    let mut read = BytesMut::new();
+    // For an answer with a long declared length the head is enough; its first body bytes are not waited for.
+    while !framing.is_long() && read.len() <= MAX_BUFFERED_BODY_BYTES {
+        let next = match &buffering {
+            None => body.frame().await,
+            Some(buffering) => match buffering.next(body.frame()).await {
+                Some(next) => next,
+                None => break,
+            },
+        };
+        let Some(frame) = next.transpose()? else { return Ok((read.freeze(), true)) };
+        let data = frame.into_data().unwrap_or_default();
+        buffering.iter_mut().for_each(|buffering| buffering.record(Instant::now(), data.len()));
+        read.extend_from_slice(&data);
+    }
+    Ok((read.freeze(), false))
+}
+
 fn announces_close(headers: &HeaderMap) -> bool {
     headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"))
 }
--- a/crates/node/src/backend/http1/mod.rs
+++ b/crates/node/src/backend/http1/mod.rs
@@ -2,14 +2,14 @@
 
 mod answer;
 mod early;
+mod forwarding;
 mod pool;
+mod time_limit;
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
-use std::future::Future;
-use std::pin::pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use glenwood_core::{AttemptId, AttemptResult};
 use glenwood_exchange::{Answer, Proof, ProofReason, ResponseKind, Verdict};
@@ -21,20 +21,17 @@
 
 use super::{Descriptors, EvictIdle};
 use crate::blocks::{Blocks, OutgoingBody, RemainingBody};
-use crate::call::{Call, Reply, REMAINING};
+use crate::call::{Call, Origin, Reply, REMAINING};
 use crate::hub::Hub;
 use answer::{send_and_receive, ExchangeError, ReceivedAnswer};
 use early::{sequel, Exchanged, Sequel};
+use forwarding::Buffering;
 use pool::{Link, Pool, Readiness};
+use time_limit::{TimeLimit, Upload, WrittenAt};
 
 /// How many new connections in a row may receive unexpected bytes before the attempt fails.
 const MAX_UNUSABLE_CONNECTIONS: usize = 3;
 
-/// How long a server may accept nothing of a streamed request body, and how often it is checked whether the
-/// transfer waits for the client or for the server.
-const UPLOAD_STALL_TIMEOUT: Duration = Duration::from_secs(2);
-const UPLOAD_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-
 /// What is sent on a connection.
 enum Message {
     Call(Rc<Call>),
@@ -63,6 +60,11 @@
         }
     }
 
+    /// Whether the answer may be forwarded in parts. An answer over MessagePack-RPC is one message.
+    fn accepts_parts(&self) -> bool {
+        matches!(self, Self::Call(call) if matches!(call.origin, Origin::Http(_)))
+    }
+
     /// The kind of an answer to this message.
     fn kind_of(&self, received: &ReceivedAnswer) -> ResponseKind {
         match self {
@@ -105,8 +107,6 @@
     written_at: WrittenAt,
 }
 
-type WrittenAt = Rc<Cell<Option<Instant>>>;
-
 impl Servers {
     /// Creates the backend without connections.
     pub fn new(hub: Rc<Hub>, descriptors: Rc<Descriptors>) -> Rc<Self> {
@@ -290,17 +290,11 @@
         // If a pooled connection is dead, a check continues on a new one.
         let may_continue = reused && !is_call;
         let deadline = if may_continue { deadline.min(sent + pool.max_connect_time) } else { deadline };
-        let ended = match message.rest() {
-            None => timeout_at(deadline.into(), send_and_receive(&mut link, request)).await.ok(),
-            Some(rest) => {
-                let limit = || match written_at.get() {
-                    Some(at) => at + deadline.saturating_duration_since(sent),
-                    None if rest.upload.awaits_data.get() => Instant::now() + UPLOAD_CHECK_INTERVAL,
-                    None => sock.last_write_at().max(sent) + UPLOAD_STALL_TIMEOUT,
-                };
-                with_moving_deadline(send_and_receive(&mut link, request), limit).await
-            }
-        };
+        let upload =
+            message.rest().map(|rest| Upload { rest, written_at: written_at.clone(), sock: sock.clone() });
+        let limit = TimeLimit { sent, deadline, upload };
+        let buffering = message.accepts_parts().then(|| Buffering::new(&limit));
+        let ended = limit.run(send_and_receive(&mut link, request, buffering)).await;
         drop(unanswered);
         record_order(pool, server, &mut link, message);
         let (any_written, is_written) = (sock.any_written(), sock.is_written());
@@ -310,6 +304,9 @@
         if may_continue && !matches!(ended, Some(Ok(_))) {
             continue;
         }
+        if let (None, Some(began)) = (&ended, sock.answer_began_at()) {
+            hub.report_answer_cut_off(server, attempt, sock.answer_body_bytes(), began.elapsed());
+        }
         return AttemptResult::NoResponse(match ended {
             // The server closed a pooled connection before the first byte was written: nothing was sent, so
             // the attempt continues on another connection.
@@ -409,16 +406,3 @@
         (_, Proof::Served | Proof::MayHaveRun) => Err(Outcome::Error),
     }
 }
-
-/// Waits for a future while its deadline keeps moving; `None` once the deadline has passed.
-async fn with_moving_deadline<T>(future: impl Future<Output = T>, limit: impl Fn() -> Instant) -> Option<T> {
-    let mut future = pin!(future);
-    loop {
-        let until = limit();
-        match timeout_at(until.into(), &mut future).await {
-            Ok(done) => return Some(done),
-            Err(_) if limit() <= Instant::now() => return None,
-            Err(_) => {}
-        }
-    }
-}
--- a/crates/node/src/hub/answers.rs
+++ b/crates/node/src/hub/answers.rs
@@ -93,6 +93,26 @@
         }
     }
 
+    /// An attempt was given up while its answer was arriving: `body_bytes` of the body had, and the first byte
+    /// of the answer `elapsed` before. `attempt` is `None` for a probe.
+    pub fn report_answer_cut_off(
+        &self,
+        server: ServerId,
+        attempt: Option<AttemptId>,
+        body_bytes: usize,
+        elapsed: Duration,
+    ) {
+        self.figures.with(|figures| figures.cut_off_answers += 1);
+        if self.answer_log_budget.take(Instant::now()) {
+            let (node, name) = (&self.config.name, self.server_name(server));
+            let request = attempt.map_or(0, |attempt| attempt.request.0);
+            log::write_line(format!(
+                "{node} answer cut off: server {name}, request {request}, {body_bytes} bytes of its body in {:.1} ms",
+                as_ms(elapsed)
+            ));
+        }
+    }
+
     /// An answer was not accepted as the answer of its request; `attempt` is `None` for a probe.
     pub fn answer_doubted(&self, server: ServerId, attempt: Option<AttemptId>, verdict: Verdict) {
         self.figures.with(|figures| figures.doubted_answers += 1);
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -21,11 +21,11 @@
 
 /// How long a request may take to arrive; for the first one it counts from the start of the connection.
 pub const REQUEST_TIMEOUT: Duration = Duration::from_millis(2500);
-/// How long a body may pause, and how many bytes per second it must deliver after an initial grace period: a
-/// quarter of what a slow client sends.
+/// How long a body may pause, and how long it may take to get up to its least rate.
 const MAX_BODY_PAUSE: Duration = Duration::from_millis(2200);
 const BODY_GRACE: Duration = Duration::from_millis(2500);
-const MIN_BODY_BYTES_PER_S: f64 = 16_000.0;
+/// How many bytes per second a body must deliver: a quarter of what a slow peer sends.
+pub const MIN_BODY_BYTES_PER_S: f64 = 16_000.0;
 /// How much of a request is copied to inspect its head.
 const MAX_HEAD_COPY_BYTES: usize = 32 * 1024;
 
@@ -293,6 +293,11 @@
         self.answer.borrow().first_byte_at
     }
 
+    /// How many bytes of the answer were received behind its head.
+    pub fn answer_body_bytes(&self) -> usize {
+        self.answer.borrow().head.body_left.map_or(0, |left| usize::MAX - left)
+    }
+
     /// How long after the last byte of the message the answer began; `None` if there is no answer, or if it
     /// began before.
     pub fn answer_delay(&self) -> Option<Duration> {
@@ -534,11 +539,10 @@
     /// with the last chunk. Additional bytes would be taken for the answer to the next request.
     pub fn received_exactly(&self, body: usize, chunked: bool) -> bool {
         let answer = self.answer.borrow();
-        let body_bytes = answer.head.body_left.map(|left| usize::MAX - left);
         if chunked {
-            body_bytes.is_some() && &answer.last_bytes == b"0\r\n\r\n"
+            answer.head.body_left.is_some() && &answer.last_bytes == b"0\r\n\r\n"
         } else {
-            body_bytes == Some(body)
+            answer.head.body_left.map(|left| usize::MAX - left) == Some(body)
         }
     }
 
--- a/crates/node/tests/slow_peers.rs
+++ b/crates/node/tests/slow_peers.rs
@@ -131,6 +131,15 @@
     clients.into_iter().map(|client| client.join().expect("the client ends")).collect()
 }
 
+/// Checks several cases at the same time.
+fn side_by_side<T: Copy + Sync>(cases: &[T], check: impl Fn(T) + Sync) {
+    std::thread::scope(|scope| {
+        for case in cases {
+            scope.spawn(|| check(*case));
+        }
+    });
+}
+
 fn start_node(peers: &[Peer], memory_mb: usize) -> (Node, Registry) {
     let hosts: Vec<_> =
         peers.iter().enumerate().map(|(n, peer)| host(&format!("s{n}"), peer.address, "active", 0)).collect();
@@ -155,13 +164,14 @@
 /// client's time is up: its first bytes are timed, not its last.
 #[test]
 fn a_long_answer_under_way_at_its_deadline_is_not_cut_off() {
-    for (form, piece_bytes) in [
+    let cases = [
         (Form::Chunked, 3_000),
         (Form::Chunked, 6_000),
         (Form::Chunked, 9_000),
         (Form::UpToTheClose, 6_000),
         (Form::Http10, 6_000),
-    ] {
+    ];
+    side_by_side(&cases, |(form, piece_bytes)| {
         let peers = peers_that_respond(move || form.response(145_000, piece_bytes, PAUSE));
         let (node, _registry) = start_node(&peers, 32);
         for class in ["look", "slip"] {
@@ -174,21 +184,21 @@
                 "{form:?}: first bytes in time: {outcomes:?}"
             );
         }
-    }
+    });
 }
 
 /// Guards against holding back for seconds what a server has written of a long answer while its client has
 /// time left.
 #[test]
 fn the_rest_of_a_long_answer_is_not_held_back() {
-    for form in Form::ALL {
+    side_by_side(&Form::ALL, |form| {
         let peers = peers_that_respond(move || form.response(70_000, 2_500, PAUSE));
         let (node, _registry) = start_node(&peers, 32);
         for outcome in ask_together(&node, "look", Duration::from_secs(10)) {
             assert_eq!(outcome.body.as_deref(), Some(&body(70_000)[..]), "{form:?}: {}", outcome.status);
             assert!(outcome.first_byte < MAX_HELD_BACK, "{form:?}: {:?}", outcome.first_byte);
         }
-    }
+    });
 }
 
 /// Guards against a final answer that comes too late because a short answer, of which the last byte is timed,
@@ -196,7 +206,7 @@
 #[test]
 fn a_short_answer_that_trickles_or_stalls_leaves_its_client_an_answer_in_time() {
     let latest = CLIENT_WAIT + LATE_ANSWER_SLACK;
-    for form in Form::ALL {
+    side_by_side(&Form::ALL, |form| {
         let trickling = peers_that_respond(move || form.response(600, 10, Duration::from_millis(50)));
         let stalled = peers_that_respond(move || form.response(5_000, 1_000, Duration::from_secs(3)));
         for peers in [trickling, stalled] {
@@ -208,7 +218,7 @@
                 }
             }
         }
-    }
+    });
 }
 
 /// Guards against taking an answer that breaks off after a part was passed on for a whole one.
--- a/crates/operation/src/figures.rs
+++ b/crates/operation/src/figures.rs
@@ -75,6 +75,10 @@
     pub doubted_answers: u64,
     /// Responses that began sooner than their server was known to answer.
     pub early_answers: u64,
+    /// Responses that were given up while they were arriving.
+    pub cut_off_answers: u64,
+    /// Responses of undeclared length that were forwarded in part, as their time was near.
+    pub answers_in_parts: u64,
     /// Configurations loaded at SIGHUP.
     pub conf_loaded: u64,
     /// Configurations rejected at SIGHUP.
@@ -178,6 +182,18 @@
                 self.early_answers,
                 "Answers that began sooner than their server was known to answer.",
             ),
+            (
+                "answers_cut_off",
+                "counter",
+                self.cut_off_answers,
+                "Answers that were given up while they were arriving.",
+            ),
+            (
+                "answers_in_parts",
+                "counter",
+                self.answers_in_parts,
+                "Answers of undeclared length that were forwarded before they were complete.",
+            ),
             ("conf_loaded", "counter", self.conf_loaded, "Configurations taken at SIGHUP."),
             ("conf_invalid", "counter", self.conf_invalid, "Configurations turned down at SIGHUP."),
         ];
