A long answer is no longer doubted because short ones of its server take longer

What callers saw: an unsafe request with a long answer, whose head came 0.3 ms after the request where short answers take 6 ms, ended with 502 though its server served it; 40 of 40 in the test, with the same connection cut each time.

Cause: the shortest times of short answers bounded long ones (response_time.rs), although a server may begin a long answer before its work is done; and early.rs takes an answer that is not complete for one of which it can't be told whether another follows, which counts as contradicted.

Change: long answers are a kind of their own, with their own shortest and usual times, and one is compared only behind a long answer on its connection: a second response to an earlier request is as long as the first one was. Short answers are no longer compared with long ones either, which had lowered their bound.

Price: a late second copy of a long answer is recognised as before once eight long ones are known; a long answer that nobody asked for behind a short one is believed now.

--- a/crates/exchange/src/connection.rs
+++ b/crates/exchange/src/connection.rs
@@ -32,6 +32,8 @@
 pub struct Answer {
     /// The meaning of the response.
     pub meaning: ResponseMeaning,
+    /// Whether the response is forwarded while it is being received.
+    pub is_long: bool,
     /// When its first byte arrived.
     pub began: Instant,
     /// The response itself names another request as the one it answers.
@@ -41,6 +43,15 @@
     pub is_contradicted: bool,
 }
 
+/// A response that was received in its turn, as far as later ones on its connection are compared with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PreviousResponse {
+    /// Its meaning.
+    pub meaning: ResponseMeaning,
+    /// Whether it was forwarded while it was being received.
+    pub is_long: bool,
+}
+
 /// The reason for a [`Proof`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProofReason {
@@ -155,15 +166,14 @@
     /// When the connection was established or its last response was complete.
     idle_since: Instant,
     answers: u32,
-    /// The meaning of the last response.
-    last_meaning: Option<ResponseMeaning>,
+    last_response: Option<PreviousResponse>,
     state: State,
 }
 
 impl Connection {
     /// Creates the state of a connection that has just been established.
     pub fn new(now: Instant) -> Self {
-        Self { opened: now, idle_since: now, answers: 0, last_meaning: None, state: State::Idle }
+        Self { opened: now, idle_since: now, answers: 0, last_response: None, state: State::Idle }
     }
 
     /// When the connection was established.
@@ -176,9 +186,9 @@
         self.idle_since
     }
 
-    /// The meaning of the last response; `None` before the first.
-    pub fn last_meaning(&self) -> Option<ResponseMeaning> {
-        self.last_meaning
+    /// The last response; `None` before the first.
+    pub fn last_response(&self) -> Option<PreviousResponse> {
+        self.last_response
     }
 
     /// When a request may be written to the connection at the earliest; `None` if none may be.
@@ -278,7 +288,7 @@
         self.state = State::Idle;
         self.answers += 1;
         self.idle_since = now;
-        self.last_meaning = Some(answer.meaning);
+        self.last_response = Some(PreviousResponse { meaning: answer.meaning, is_long: answer.is_long });
         let proof = match answer.meaning {
             ResponseMeaning::Served => Proof::Served,
             ResponseMeaning::RefusedUnprocessed | ResponseMeaning::Rejected => Proof::NeverRan,
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -15,8 +15,8 @@
 mod response_time;
 
 pub use connection::{
-    Answer, Connection, ConnectionPhase, Proof, ProofReason, RequiredIdle, ResponseMeaning, UnsolicitedBytes,
-    Verdict,
+    Answer, Connection, ConnectionPhase, PreviousResponse, Proof, ProofReason, RequiredIdle, ResponseMeaning,
+    UnsolicitedBytes, Verdict,
 };
 pub use doubt::{DistrustTracker, Scope};
 pub use response_time::{ResponseKind, ResponseTimes, ResponseTiming};
--- a/crates/exchange/src/response_time.rs
+++ b/crates/exchange/src/response_time.rs
@@ -8,7 +8,7 @@
 use std::hash::Hash;
 use std::time::{Duration, Instant};
 
-use crate::connection::ResponseMeaning;
+use crate::connection::{PreviousResponse, ResponseMeaning};
 
 /// For how long an observed response time counts: between one and two of these spans.
 const OBSERVATION_SPAN: Duration = Duration::from_secs(60);
@@ -31,19 +31,15 @@
     HealthCheck,
     /// The request was carried out.
     Served,
+    /// The request was carried out, and the response is forwarded while it is being received. A server may
+    /// begin such a response before its work is done.
+    ServedLong,
     /// The request was refused, or is invalid.
     Unprocessed,
     /// Any other response.
     Failed,
 }
 
-impl ResponseKind {
-    /// Whether the server may respond without any work, so that the path alone bounds the time.
-    fn is_immediate(self) -> bool {
-        self != Self::Served
-    }
-}
-
 /// When a response began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ResponseTiming {
@@ -51,8 +47,18 @@
     pub after_request: Duration,
     /// Time since the response before it, or since the connection was established.
     pub after_previous: Duration,
-    /// The meaning of the response before it; `None` if it is the first on its connection.
-    pub previous: Option<ResponseMeaning>,
+    /// The response before it; `None` if it is the first on its connection.
+    pub previous: Option<PreviousResponse>,
+}
+
+impl ResponseTiming {
+    fn follows_long(&self) -> bool {
+        self.previous.is_some_and(|previous| previous.is_long)
+    }
+
+    fn follows_refusal(&self) -> bool {
+        self.previous.is_some_and(|previous| previous.meaning == ResponseMeaning::RefusedUnprocessed)
+    }
 }
 
 impl From<ResponseMeaning> for ResponseKind {
@@ -123,22 +129,37 @@
     immediate: Minimum,
     /// Of requests that were carried out.
     served: Minimum,
+    /// Of those with long responses.
+    served_long: Minimum,
 }
 
 impl ShortestTimes {
     fn add(&mut self, kind: ResponseKind, sample: Duration) {
-        let minimum = if kind.is_immediate() { &mut self.immediate } else { &mut self.served };
+        let minimum = match kind {
+            ResponseKind::Served => &mut self.served,
+            ResponseKind::ServedLong => &mut self.served_long,
+            // Without any work, so that the path alone bounds the time.
+            ResponseKind::HealthCheck | ResponseKind::Unprocessed | ResponseKind::Failed => {
+                &mut self.immediate
+            }
+        };
         minimum.add(sample);
     }
 
     fn merge(self, other: Self) -> Self {
-        Self { immediate: self.immediate.merge(other.immediate), served: self.served.merge(other.served) }
+        Self {
+            immediate: self.immediate.merge(other.immediate),
+            served: self.served.merge(other.served),
+            served_long: self.served_long.merge(other.served_long),
+        }
     }
 
     /// The time that a response of a kind takes at least; `None` if too little is known.
     fn bound(self, kind: ResponseKind) -> Option<Duration> {
         match kind {
             ResponseKind::Served => self.served.bound().or(self.immediate.bound()),
+            // Times of other responses say nothing of one that begins before the work is done.
+            ResponseKind::ServedLong => self.served_long.bound(),
             ResponseKind::HealthCheck => self.immediate.bound(),
             // While the server was not seen to refuse or to fail anything, the time of work is the only
             // evidence.
@@ -158,6 +179,8 @@
     current: ShortestTimes,
     /// The usual time of requests that were carried out.
     usual: Option<SmoothedTime>,
+    /// The same for long responses.
+    usual_long: Option<SmoothedTime>,
 }
 
 impl ServerTimes {
@@ -167,6 +190,7 @@
             previous: ShortestTimes::default(),
             current: ShortestTimes::default(),
             usual: None,
+            usual_long: None,
         }
     }
 
@@ -201,12 +225,14 @@
         let times = self.servers.entry(server).or_insert_with(|| ServerTimes::new(now));
         times.advance(now);
         times.current.add(kind, elapsed);
-        if kind != ResponseKind::Served {
-            return;
-        }
-        match &mut times.usual {
+        let usual = match kind {
+            ResponseKind::Served => &mut times.usual,
+            ResponseKind::ServedLong => &mut times.usual_long,
+            ResponseKind::HealthCheck | ResponseKind::Unprocessed | ResponseKind::Failed => return,
+        };
+        match usual {
             Some(usual) => usual.add(elapsed),
-            None => times.usual = Some(SmoothedTime::first(elapsed)),
+            None => *usual = Some(SmoothedTime::first(elapsed)),
         }
     }
 
@@ -221,13 +247,17 @@
         if timing.after_previous > MAX_SECOND_RESPONSE_DELAY {
             return None;
         }
+        // A second response to an earlier request is as long as the first one was.
+        if kind == ResponseKind::ServedLong && !timing.follows_long() {
+            return None;
+        }
         let times = self.servers.get(&server)?;
         let shortest = times.current.merge(times.previous).bound(kind);
         let is_early = shortest.is_some_and(|time| timing.after_request < time.mul_f64(PLAUSIBLE_SHARE));
         // A refusal takes no time to tell it from a second copy of the refusal before it.
-        let may_be_copy =
-            kind == ResponseKind::Unprocessed && timing.previous == Some(ResponseMeaning::RefusedUnprocessed);
-        times.usual.filter(|_| is_early || may_be_copy).map(SmoothedTime::upper_bound)
+        let may_be_copy = kind == ResponseKind::Unprocessed && timing.follows_refusal();
+        let usual = if kind == ResponseKind::ServedLong { times.usual_long } else { times.usual };
+        usual.filter(|_| is_early || may_be_copy).map(SmoothedTime::upper_bound)
     }
 
     /// Discards the times of a server, as another process has taken its place.
--- a/crates/exchange/tests/explored.rs
+++ b/crates/exchange/tests/explored.rs
@@ -172,6 +172,7 @@
                 EventKind::Answered { said, doubt } => {
                     let answer = Answer {
                         meaning: said,
+                        is_long: false,
                         began: at,
                         names_other_request: doubt == Some(ResponseDoubt::NamesAnother),
                         is_contradicted: doubt == Some(ResponseDoubt::Contradicted),
--- a/crates/node/src/backend/http1/early.rs
+++ b/crates/node/src/backend/http1/early.rs
@@ -39,7 +39,7 @@
     let after_request = link.sock.answer_delay()?;
     let began = link.sock.answer_began_at()?;
     let after_previous = began.saturating_duration_since(link.exchange.idle_since());
-    Some(ResponseTiming { after_request, after_previous, previous: link.exchange.last_meaning() })
+    Some(ResponseTiming { after_request, after_previous, previous: link.exchange.last_response() })
 }
 
 /// Determines what follows an answer that began implausibly early. Waits until the true answer is due, but
--- a/crates/node/src/backend/http1/mod.rs
+++ b/crates/node/src/backend/http1/mod.rs
@@ -12,7 +12,7 @@
 use std::time::Instant;
 
 use glenwood_core::{AttemptId, AttemptResult};
-use glenwood_exchange::{Answer, Proof, ProofReason, ResponseKind, Verdict};
+use glenwood_exchange::{Answer, Proof, ProofReason, ResponseKind, ResponseMeaning, Verdict};
 use glenwood_policy::{Outcome, ServerId};
 use hyper::header::{HeaderValue, HOST};
 use hyper::{Request, Uri};
@@ -68,7 +68,10 @@
     /// The kind of an answer to this message.
     fn kind_of(&self, received: &ReceivedAnswer) -> ResponseKind {
         match self {
-            Self::Call(_) => received.classify().into(),
+            Self::Call(_) => match received.classify() {
+                ResponseMeaning::Served if received.is_incomplete() => ResponseKind::ServedLong,
+                meaning => meaning.into(),
+            },
             Self::Probe | Self::Check => ResponseKind::HealthCheck,
         }
     }
@@ -384,6 +387,7 @@
     let began = link.sock.answer_began_at().unwrap_or(now);
     let answer = Answer {
         meaning: received.classify(),
+        is_long: received.is_incomplete(),
         began,
         names_other_request: received.names_another_request(id),
         is_contradicted: sequel != Sequel::Nothing,
