The time of a request counts from when its client may have written the last byte

What callers saw: requests of 6 MB that a server read at 1.6 MB/s got their final answer 2.48 s after the client had written the last byte, where it waited for 0.8 s and half a second more is allowed.

Cause: a body beyond the budget is forwarded as it arrives, and its time began with the last byte written to the server (time_limit.rs, Core::body_sent). The node reads no faster than the server does, so megabytes lie in sockets meanwhile, written by the client and not seen by the node.

Change: a socket records since when the bytes read last may have been waiting: the first read after it was found empty. The client can't have written its last byte while the socket was found empty, nor while more of a declared length is left than sockets hold (10 MiB, Linux's default maxima). The later of the two is where the time begins, for the attempt and for the guard that answers in its place. What isn't written whole by then never ran and is refused.

Why it works: while the server accepts no more the node does not read, so the socket is not found empty, and the time runs from the start of that backlog. Where the client is the slow side the socket is found empty again and again up to the last byte, and nothing changes. Cost elsewhere: none; a long request to a slow server may be refused earlier than its client would have waited, by as much as the sockets held.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -444,14 +444,15 @@
         self.feed(now, Event::BodySent(request));
     }
 
-    /// The last byte of a streamed body has been forwarded; the client's time counts from now.
-    pub fn body_sent(&mut self, now: Millis, request: RequestId) {
+    /// The last byte of a streamed body has been forwarded; the client's time counts from `last_byte_at`, when
+    /// it may have written that byte.
+    pub fn body_sent(&mut self, now: Millis, request: RequestId, last_byte_at: Millis) {
         let Some(open) = self.requests.get_mut(&request) else { return };
         let Some(wait) = open.wait_after_body.take() else { return };
         open.completed_at = now;
         if !open.answered {
             self.guards.remove(&(open.guard, request));
-            open.guard = Timestamp::at(now + wait - GUARD_MARGIN.min(wait / 2.0));
+            open.guard = Timestamp::at(last_byte_at + wait - GUARD_MARGIN.min(wait / 2.0));
             self.guards.insert((open.guard, request));
         }
     }
--- a/crates/core/src/incoming.rs
+++ b/crates/core/src/incoming.rs
@@ -74,8 +74,8 @@
     pub repeat_key: Option<u64>,
     /// The client's estimate of the work, as time on a standard core.
     pub work: Option<Millis>,
-    /// The body is still arriving: the client's time counts from when [`crate::Core::body_sent`] reports that
-    /// the last byte was forwarded.
+    /// The body is still arriving: the client's time counts from when its last byte may have been written, as
+    /// [`crate::Core::body_sent`] reports.
     pub body_pending: bool,
     /// For a request taken over from another node: the attempts that other nodes have made or intended.
     /// Attempts of this node are numbered after them.
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -478,21 +478,24 @@
     assert_eq!(core.open_count(), flowing.len());
 }
 
+/// Guards against a final answer that is late by the time for which the last byte of a body waited.
 #[test]
-fn the_deadline_of_a_streamed_request_counts_from_its_last_byte() {
-    let mut core = core(1, 10);
-    let streamed = Incoming { body_pending: true, ..incoming(0, "a", 1.0, 500.0) };
-    let request = core.accept(1.0, streamed).expect("room");
-    let attempt = started(&outputs(&mut core))[0];
-    core.handle_timeout(5_000.0);
-    assert!(answers(outputs(&mut core)).is_empty(), "nothing is due before the last byte");
-    core.body_sent(5_000.0, request);
-    core.handle_timeout(5_400.0);
-    assert!(answers(outputs(&mut core)).is_empty());
-    core.handle_timeout(5_500.0);
-    assert_eq!(answers(outputs(&mut core)), [Final::DeadlineNear]);
-    core.attempt_ended(5_600.0, attempt, AttemptResult::NoResponse(Outcome::TimedOut));
-    assert_eq!(core.open_count(), 0);
+fn the_deadline_of_a_streamed_request_counts_from_when_its_client_wrote_the_last_byte() {
+    for last_byte_at in [5_000.0, 4_800.0] {
+        let mut core = core(1, 10);
+        let streamed = Incoming { body_pending: true, ..incoming(0, "a", 1.0, 500.0) };
+        let request = core.accept(1.0, streamed).expect("room");
+        let attempt = started(&outputs(&mut core))[0];
+        core.handle_timeout(5_000.0);
+        assert!(answers(outputs(&mut core)).is_empty(), "nothing is due before the last byte");
+        core.body_sent(5_000.0, request, last_byte_at);
+        core.handle_timeout(last_byte_at + 400.0);
+        assert!(answers(outputs(&mut core)).is_empty());
+        core.handle_timeout(last_byte_at + 500.0);
+        assert_eq!(answers(outputs(&mut core)), [Final::DeadlineNear]);
+        core.attempt_ended(5_600.0, attempt, AttemptResult::NoResponse(Outcome::TimedOut));
+        assert_eq!(core.open_count(), 0);
+    }
 }
 
 #[test]
--- a/crates/node/src/backend/http1/mod.rs
+++ b/crates/node/src/backend/http1/mod.rs
@@ -272,13 +272,14 @@
             (length, _) => link.sock.begin_message(length.unwrap_or(0)),
         }
         if let Some(attempt) = attempt {
-            let (hub_handle, written_at, is_streamed) =
-                (hub.clone(), written_at.clone(), message.rest().is_some());
+            let (hub_handle, written_at) = (hub.clone(), written_at.clone());
+            let upload = message.rest().map(|rest| rest.upload.clone());
             link.sock.on_written(move || {
+                let now = Instant::now();
                 hub_handle.figures.with(|f| f.sends += 1);
-                written_at.set(Some(Instant::now()));
-                if is_streamed {
-                    hub_handle.body_sent(attempt.request);
+                written_at.set(Some(now));
+                if let Some(upload) = upload {
+                    hub_handle.body_sent(attempt.request, upload.last_byte_since().unwrap_or(now));
                 }
             });
             if message.rest().is_some_and(RemainingBody::is_available) {
--- a/crates/node/src/backend/http1/time_limit.rs
+++ b/crates/node/src/backend/http1/time_limit.rs
@@ -43,10 +43,17 @@
     /// When the exchange is given up, as things stand.
     pub fn current(&self) -> Instant {
         let Some(upload) = &self.upload else { return self.deadline };
+        // The client's time counts from the last byte that it wrote.
+        let wait = self.deadline.saturating_duration_since(self.sent);
+        let progress = &upload.rest.upload;
+        let times_up = progress.last_byte_since().map(|since| since + wait);
         match upload.written_at.get() {
-            Some(at) => at + self.deadline.saturating_duration_since(self.sent),
-            None if upload.rest.upload.awaits_data.get() => Instant::now() + UPLOAD_CHECK_INTERVAL,
-            None => upload.sock.last_write_at().max(self.sent) + UPLOAD_STALL_TIMEOUT,
+            Some(written_at) => times_up.unwrap_or(written_at + wait),
+            None if progress.awaits_data.get() => Instant::now() + UPLOAD_CHECK_INTERVAL.min(wait),
+            None => {
+                let stalled_at = upload.sock.last_write_at().max(self.sent) + UPLOAD_STALL_TIMEOUT;
+                times_up.map_or(stalled_at, |times_up| times_up.min(stalled_at))
+            }
         }
     }
 
--- a/crates/node/src/blocks.rs
+++ b/crates/node/src/blocks.rs
@@ -5,12 +5,16 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
+use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use crate::call::{Truncated, MAX_BODY_BYTES};
 
+/// How much of a body the sockets of a connection may hold: the default maximum of Linux for a send buffer
+/// (4 MiB) and for a receive buffer (6 MiB).
+const MAX_BYTES_IN_SOCKETS: usize = 10 << 20;
 /// The size of a block.
 const BLOCK_BYTES: usize = 16 * 1024;
 
@@ -105,12 +109,58 @@
 }
 
 /// The progress of a body that is forwarded while it is being received.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct UploadProgress {
     /// Set while the receiver could accept more but nothing has arrived.
     pub awaits_data: Cell<bool>,
     /// Set once the last byte has been passed on.
     pub ended: Cell<bool>,
+    /// The bytes that remain to be passed on, if the length was declared.
+    left: Cell<Option<usize>>,
+    /// Since when the bytes received last may have been waiting to be read.
+    readable_since: Cell<Option<Instant>>,
+    /// Since when sockets could hold all that remains.
+    fits_sockets_since: Cell<Option<Instant>>,
+}
+
+impl UploadProgress {
+    fn new(length: Option<usize>) -> Self {
+        let progress = Self {
+            awaits_data: Cell::default(),
+            ended: Cell::default(),
+            left: Cell::new(length),
+            readable_since: Cell::default(),
+            fits_sockets_since: Cell::default(),
+        };
+        progress.note_left();
+        progress
+    }
+
+    /// Records that bytes were received which may have been waiting to be read since `readable_since`.
+    pub fn received(&self, readable_since: Instant) {
+        self.readable_since.set(Some(readable_since));
+    }
+
+    fn passed_on(&self, bytes: usize) {
+        self.left.set(self.left.get().map(|left| left.saturating_sub(bytes)));
+        self.note_left();
+    }
+
+    fn note_left(&self) {
+        let fits = self.left.get().is_none_or(|left| left <= MAX_BYTES_IN_SOCKETS);
+        if fits && self.fits_sockets_since.get().is_none() {
+            self.fits_sockets_since.set(Some(Instant::now()));
+        }
+    }
+
+    /// The earliest time at which the client may have written its last byte; `None` if it can't have written
+    /// it yet. While a server accepts no more, sockets hold bytes that the node has not seen.
+    pub fn last_byte_since(&self) -> Option<Instant> {
+        if self.awaits_data.get() && !self.ended.get() {
+            return None;
+        }
+        Some(self.readable_since.get()?.max(self.fits_sockets_since.get()?))
+    }
 }
 
 /// The rest of a body, which can be consumed only once.
@@ -125,7 +175,7 @@
 impl RemainingBody {
     /// Creates the rest of a body whose declared total is `length`.
     pub fn new(body: Incoming, length: Option<usize>) -> Self {
-        Self { body: RefCell::new(Some(body)), length, upload: Rc::default() }
+        Self { body: RefCell::new(Some(body)), length, upload: Rc::new(UploadProgress::new(length)) }
     }
 
     /// Returns whether it has not been consumed yet.
@@ -155,6 +205,7 @@
 
     fn count_sent(&mut self, bytes: usize) -> Result<(), Truncated> {
         self.sent_bytes += bytes;
+        self.rest.iter().for_each(|(_, upload)| upload.passed_on(bytes));
         if let Some(left) = &mut self.left {
             *left = left.checked_sub(bytes).ok_or(Truncated)?;
         }
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -574,9 +574,11 @@
         self.update_core(|core, now| core.body_consumed(now, request));
     }
 
-    /// The last byte of a request with a streamed body was sent.
-    pub fn body_sent(&self, request: RequestId) {
-        self.update_core(|core, now| core.body_sent(now, request));
+    /// The last byte of a request with a streamed body was sent; its client may have written it at
+    /// `last_byte_at`.
+    pub fn body_sent(&self, request: RequestId, last_byte_at: Instant) {
+        let last_byte_at = self.clock.millis_at(last_byte_at);
+        self.update_core(|core, now| core.body_sent(now, request, last_byte_at));
     }
 
     /// A server has finished an attempt that had run on after its end here.
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -199,6 +199,11 @@
     /// The bytes received since the current request began, when the last of them arrived, and the last five.
     request_bytes: Cell<usize>,
     last_read_at: Cell<Instant>,
+    /// Since when the bytes read last may have been waiting: when bytes were first read after the socket was
+    /// last found empty.
+    readable_since: Cell<Instant>,
+    /// Whether the socket was found empty after the last read.
+    is_empty: Cell<bool>,
     last_bytes: Cell<[u8; 5]>,
     /// When the body of the current request began to arrive, and how many bytes preceded it.
     body_start: Cell<Option<(Instant, usize)>>,
@@ -246,6 +251,8 @@
             pipelined: Cell::new(false),
             request_bytes: Cell::new(0),
             last_read_at: Cell::new(now),
+            readable_since: Cell::new(now),
+            is_empty: Cell::new(true),
             last_bytes: Cell::default(),
             body_start: Cell::new(None),
             last_write_at: Cell::new(now),
@@ -357,6 +364,7 @@
 
     /// Marks the body of the current request as streamed.
     pub fn stream_body(&self, upload: Rc<UploadProgress>) {
+        upload.received(self.readable_since.get());
         self.upload.replace(Some(upload));
     }
 
@@ -556,6 +564,12 @@
         if bytes.is_empty() || !self.tracks_requests.get() {
             return;
         }
+        if self.is_empty.replace(false) {
+            self.readable_since.set(Instant::now());
+        }
+        if let Some(upload) = &*self.upload.borrow() {
+            upload.received(self.readable_since.get());
+        }
         match self.phase.get() {
             Phase::Idle => {
                 self.begin_request(self.has_received.replace(true));
@@ -650,6 +664,7 @@
                     buf.put_slice(&chunk[..n]);
                     return Poll::Ready(Ok(()));
                 }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => sock.is_empty.set(true),
                 Err(e) if is_retryable(&e) => {}
                 Err(e) => return Poll::Ready(Err(e)),
             }
--- a/crates/node/tests/slow_peers.rs
+++ b/crates/node/tests/slow_peers.rs
@@ -289,34 +289,35 @@
 /// counts from the last byte that it wrote, not from the last that the node read.
 #[test]
 fn a_server_that_reads_a_long_request_slowly_delays_no_final_answer() {
+    // The body is forwarded as it arrives, or buffered whole.
+    side_by_side(&[32, 192], |memory_mb| {
+        let servers: Vec<SlowReader> = (0..6).map(|_| SlowReader::start()).collect();
+        let server_host =
+            |(n, server): (usize, &SlowReader)| host(&format!("s{n}"), server.address, "active", 0);
+        let registry = Registry::new(&servers.iter().enumerate().map(server_host).collect::<Vec<_>>());
+        let mut node_config = config(registry.address);
+        node_config["limits"] = serde_json::json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024});
+        let node = Node::ready(&node_config);
+        let address = node.address;
+        let uploads: Vec<_> = (0..6).map(|n| std::thread::spawn(move || upload(address, n))).collect();
+        for upload in uploads {
+            let outcome = upload.join().expect("the client ends");
+            assert!(outcome.status > 0, "{memory_mb} MB: a final answer: {outcome:?}");
+            assert!(outcome.last_byte <= CLIENT_WAIT + LATE_ANSWER_SLACK, "{memory_mb} MB: {outcome:?}");
+        }
+    });
+}
+
+/// Sends a request of 6 MB, and reads its answer.
+fn upload(node: SocketAddr, number: usize) -> Outcome {
     const REQUEST_BYTES: usize = 6_000_000;
-    let servers: Vec<SlowReader> = (0..6).map(|_| SlowReader::start()).collect();
-    let hosts: Vec<_> = servers
-        .iter()
-        .enumerate()
-        .map(|(n, server)| host(&format!("s{n}"), server.address, "active", 0))
-        .collect();
-    let registry = Registry::new(&hosts);
-    let mut node_config = config(registry.address);
-    node_config["limits"] = serde_json::json!({"cores": 1.0, "memory_mb": 32, "sockets": 1024});
-    let node = Node::ready(&node_config);
-    let address = node.address;
-    let upload = move |n: usize| {
-        let framing = format!("Content-Length: {REQUEST_BYTES}\r\n\r\n");
-        let head = request("slip", &format!("u{n}"), CLIENT_WAIT.as_millis() as u64);
-        let head = closing(&head.replace("Content-Length: 4\r\n\r\nwork", &framing));
-        let mut stream = TcpStream::connect(address).expect("the node listens");
-        // A node that has answered stops reading: the rest can't be written then.
-        let is_sent = stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&body(REQUEST_BYTES)));
-        let sent = Instant::now();
-        (is_sent.is_ok(), read_outcome(&mut stream, sent))
-    };
-    let uploads: Vec<_> = (0..6).map(|n| std::thread::spawn(move || upload(n))).collect();
-    for upload in uploads {
-        let (is_sent, outcome) = upload.join().expect("the client ends");
-        assert!(outcome.status > 0, "a final answer: {is_sent}, {outcome:?}");
-        assert!(outcome.last_byte <= CLIENT_WAIT + LATE_ANSWER_SLACK, "{is_sent}, {outcome:?}");
-    }
+    let framing = format!("Content-Length: {REQUEST_BYTES}\r\n\r\n");
+    let head = request("slip", &format!("u{number}"), CLIENT_WAIT.as_millis() as u64);
+    let head = closing(&head.replace("Content-Length: 4\r\n\r\nwork", &framing));
+    let mut stream = TcpStream::connect(node).expect("the node listens");
+    // A node that has answered stops reading: the rest can't be written then.
+    let _ = stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&body(REQUEST_BYTES)));
+    read_outcome(&mut stream, Instant::now())
 }
 
 /// Guards against taking a long answer for one that no request asked for because its head comes sooner than
