A request sent while the one before it is served is dated by its arrival

Cause: the front dated a request by when its bytes were read (sock.rs, last_read_at). While a request is served nothing is read, so what arrived meanwhile was dated by the end of the answer before it.

Change: the task that serves a connection also watches it for bytes that arrive while nobody reads, where the socket was found empty before, and a request is dated by the earlier of that and of the read.

Cost: while a request is served, one look at the socket for bytes that arrive then; none where clients send one request at a time.

Measured: requests_sent_at_once_are_as_old_as_their_arrival fails without the change (t23 after 2.53 s) and passes with it, for requests sent together and 2 ms apart.

--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -72,13 +72,14 @@
     /// false). A client that has closed its connection no longer waits for its answer; hyper reads at most
     /// one request ahead and may miss the close, so the socket is watched here too.
     async fn drive(&self, conn: impl Future, client: &Client) -> bool {
-        let mut conn = pin!(conn);
+        let (mut conn, mut arrivals) = (pin!(conn), pin!(client.sock.watch_arrivals()));
         loop {
             tokio::select! {
                 // Poll hyper first: a request that arrives while the connection is being closed is still
                 // served.
                 biased;
                 _ = &mut conn => return true,
+                never = &mut arrivals => match never {},
                 () = client.sock.closed_while_answer_pending() => {
                     client.set_ending(Ending::Left);
                     return false;
@@ -158,9 +159,9 @@
             }
             Ok((parsed, remaining)) => {
                 sock.detect_pipelined(length);
-                // The client's remaining time counts from the last byte of the request.
-                let arrived =
-                    if sock.phase().0 == Phase::Reading { sock.last_read_at() } else { Instant::now() };
+                // The client's remaining time counts from the last byte of the request, which may have been
+                // waiting for the end of the request before it.
+                let arrived = sock.arrived_at();
                 match &parsed.call.rest {
                     None => sock.enter_phase(Phase::Busy),
                     Some(rest) => sock.stream_body(rest.upload.clone()),
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -2,6 +2,7 @@
 //! whether the peer has closed.
 
 use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -368,9 +369,22 @@
         self.upload.replace(Some(upload));
     }
 
-    /// When the last byte read so far was received.
-    pub fn last_read_at(&self) -> Instant {
-        self.last_read_at.get()
+    /// The earliest time at which the last byte read so far may have arrived.
+    pub fn arrived_at(&self) -> Instant {
+        self.readable_since.get().min(self.last_read_at.get())
+    }
+
+    /// Notes when bytes arrive while nobody reads; never returns. Must be polled by the task that serves the
+    /// connection, after the reader.
+    pub async fn watch_arrivals(&self) -> Infallible {
+        std::future::poll_fn(|cx| {
+            if self.is_empty.get() && self.poll_readable_or_closed(cx) == Poll::Ready(Pending::Bytes) {
+                self.is_empty.set(false);
+                self.readable_since.set(Instant::now());
+            }
+            Poll::Pending
+        })
+        .await
     }
 
     /// When the call began by which the kernel last accepted bytes to write.
@@ -434,7 +448,7 @@
         }
     }
 
-    /// Ready once bytes can be read or the peer has closed. Must not be polled while hyper reads.
+    /// Ready once bytes can be read or the peer has closed. Must not be polled while another task reads.
     pub fn poll_readable_or_closed(&self, cx: &mut Context<'_>) -> Poll<Pending> {
         let mut byte = [MaybeUninit::uninit(); 1];
         loop {
--- a/crates/node/tests/slow_peers.rs
+++ b/crates/node/tests/slow_peers.rs
@@ -5,6 +5,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use peers::{answer, config, host, request, Node, Peer, Pieces, Registry, Reply, WAIT_TIMEOUT};
@@ -320,6 +321,47 @@
     read_outcome(&mut stream, Instant::now())
 }
 
+/// Guards against counting the time of a request from the end of the answer before it: one that was sent while
+/// that answer was awaited is as old as it is.
+#[test]
+fn requests_sent_at_once_are_as_old_as_their_arrival() {
+    const HEAVY_WORK: Duration = Duration::from_millis(1_500);
+    const FOLLOWING: usize = 24;
+    let wait = Duration::from_secs(2);
+    /// How much more than its client has left a server may be told.
+    const TOLD_SLACK: Duration = Duration::from_millis(150);
+    for pause in [Duration::ZERO, Duration::from_millis(2)] {
+        let told = Arc::new(Mutex::new(Vec::new()));
+        let record = told.clone();
+        let peer = Peer::new(move |message| {
+            let Some(id) = message.header("x-txn") else { return Reply::Now(answer(200, "", "")) };
+            let left = message.header("x-remaining-ms").and_then(|ms| ms.parse().ok()).expect("a time");
+            let until = Instant::now() + Duration::from_millis(left);
+            record.lock().expect("no test has failed").push((id.to_string(), until));
+            let work = if id.ends_with("heavy") { HEAVY_WORK } else { Duration::from_millis(100) };
+            Reply::After(work, answer(200, "", "served"))
+        });
+        let (node, _registry) = start_node(&[peer], 192);
+        let mut client = peers::Client::to(&node);
+        let mut sent = Vec::new();
+        for n in 0..=FOLLOWING {
+            let id = if n == 0 { "t0-heavy".to_string() } else { format!("t{n}") };
+            client.send(&request("look", &id, wait.as_millis() as u64));
+            sent.push((id, Instant::now()));
+            std::thread::sleep(pause);
+        }
+        for (id, sent) in &sent {
+            assert!(client.receive().is_some(), "{id}: a final answer");
+            assert!(sent.elapsed() <= wait + LATE_ANSWER_SLACK, "{id}: after {:?}", sent.elapsed());
+        }
+        for (id, until) in &*told.lock().expect("no test has failed") {
+            let sent = sent.iter().find(|(other, _)| other == id).expect("it was sent").1;
+            let excess = until.saturating_duration_since(sent + wait);
+            assert!(excess <= TOLD_SLACK, "{id}: its server was told {excess:?} too much");
+        }
+    }
+}
+
 /// Guards against taking a long answer for one that no request asked for because its head comes sooner than
 /// short answers do.
 #[test]
