Connections that are closed to make room count until they are gone

Cause: wait_for_room (front/table.rs) took a connection that was asked to close for gone, while it lingers for up to 0.5 s; and the 16 descriptors that are set aside for the process are all used by what it always has, eight of them for signals.

Change: a new connection is accepted once an evicted one is gone. One that only lingers ends at once when it is evicted and has nothing to read, as its answer is with the system then. 24 descriptors are set aside.

The sum: descriptors of clients, servers and the process, divided in Config::split_descriptors. Cost: four client connections fewer; the next client waits until the evicted connection is closed.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -91,9 +91,10 @@
 /// The fewest descriptors with which a node can work.
 const MIN_SOCKETS: u64 = 32;
 
-/// Descriptors of the process itself: standard streams, the runtime's, the listener, discovery's old and
-/// new call, and those that one side is about to release while the other side already opens them.
-const PROCESS_DESCRIPTORS: usize = 16;
+/// Descriptors of the process itself: standard streams, signals (eight), the runtime's, the listener,
+/// discovery's old and new call, and those that one side is about to release while the other side already
+/// opens them.
+const PROCESS_DESCRIPTORS: usize = 24;
 /// Client connections per MB: the worst of them hold a head, a body and an answer, 0.2 MB in all.
 const CLIENTS_PER_MB: usize = 4;
 /// Long bodies may use the memory divided by this.
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -64,7 +64,21 @@
             .serve_connection(Io(client.sock.clone()), service);
         // An error on a client's connection concerns only that client; it is not logged.
         if self.drive(conn, &client).await {
-            let _ = timeout(LINGER_TIMEOUT, client.sock.linger()).await;
+            let _ = timeout(LINGER_TIMEOUT, self.linger(&client)).await;
+        }
+    }
+
+    /// Reads on until the client closes, or until the connection is to be closed to make room for another.
+    async fn linger(&self, client: &Client) {
+        let mut lingering = pin!(client.sock.linger());
+        loop {
+            tokio::select! {
+                biased;
+                () = &mut lingering => return,
+                () = client.close.notified() => if self.clients.confirm_close(client) {
+                    return;
+                }
+            }
         }
     }
 
--- a/crates/node/src/front/table.rs
+++ b/crates/node/src/front/table.rs
@@ -127,10 +127,13 @@
         self.open.borrow().len()
     }
 
-    /// Waits until there is room for another connection, evicting one that is of little use if necessary.
+    /// Waits until there is room for another connection, evicting one that is of little use if necessary. An
+    /// evicted connection holds its descriptor until it is gone.
     pub async fn wait_for_room(&self) {
-        while self.count() - self.evicting.get() >= self.limit.get() && !self.evict() {
-            self.freed.notified().await;
+        while self.count() >= self.limit.get() {
+            if self.count() - self.evicting.get() < self.limit.get() || !self.evict() {
+                self.freed.notified().await;
+            }
         }
     }
 
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -578,8 +578,9 @@
         if bytes.is_empty() || !self.tracks_requests.get() {
             return;
         }
+        let now = Instant::now();
         if self.is_empty.replace(false) {
-            self.readable_since.set(Instant::now());
+            self.readable_since.set(now);
         }
         if let Some(upload) = &*self.upload.borrow() {
             upload.received(self.readable_since.get());
@@ -599,7 +600,7 @@
             Phase::Busy | Phase::Answering => self.pipelined.set(true),
         }
         self.request_bytes.set(self.request_bytes.get() + bytes.len());
-        self.last_read_at.set(Instant::now());
+        self.last_read_at.set(now);
         let mut last_bytes = self.last_bytes.get();
         append_last_bytes(&mut last_bytes, bytes);
         self.last_bytes.set(last_bytes);
