A request's body is released with its answer, not with the answer's last byte

What was seen: a node of 32 MB peaked at 39,712 KB beside 128 clients that send up to 4 MB each and read long answers slowly; over its limit a process is killed.

Cause: Core (crates/core) keeps what a request sends for as long as an attempt occupies its server. A long answer does so up to its last byte, so a body of 4 MB and a head of 12 kB, with their part of the budget, were held for as long as the client took to read.

Change: the core drops it with the final answer; no attempt begins after that.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -136,7 +136,8 @@
 /// A request that awaits its answer or still has attempts in progress.
 struct OpenRequest<P> {
     id: Token,
-    payload: P,
+    /// What attempts send; `None` once the request is answered, as no further attempt begins then.
+    payload: Option<P>,
     /// The final answer has been given, or the client has disconnected.
     answered: bool,
     guard: Timestamp,
@@ -336,7 +337,7 @@
             |e: &PriorAttempt| Attempt { server: e.server, sent: e.sent, stage: Stage::Finished };
         let open = OpenRequest {
             id: incoming.id,
-            payload: incoming.payload,
+            payload: Some(incoming.payload),
             answered: false,
             guard,
             wait_after_body,
@@ -571,10 +572,10 @@
         match action {
             Action::Send { id, server, timeout } => {
                 let Some(open) = self.requests.get_mut(&id) else { return };
+                let Some(payload) = open.payload.clone() else { return };
                 let attempt = AttemptId { request: id, number: open.attempts.len() };
                 open.attempts.push(Attempt { server, sent: now, stage: Stage::Pending });
                 let end = now + timeout.unwrap_or(MAX_ATTEMPT_DURATION).clamp(0.0, MAX_ATTEMPT_DURATION);
-                let payload = open.payload.clone();
                 self.outputs.push_back(Output::Start { attempt, server, end, payload });
             }
             Action::Cancel { id, attempt } => {
@@ -628,6 +629,8 @@
         if std::mem::replace(&mut open.answered, true) {
             return false;
         }
+        // A response may be streamed for long, and the request may hold megabytes.
+        open.payload = None;
         self.ids.remove(&open.id);
         self.guards.remove(&(open.guard, request));
         true
