What clients, bodies and the process may take together stays within the memory

Cause: nothing added up the two bounds. 128 connections (4 for each MB) may hold a body and an answer of 64 KiB each beside their heads and buffers, and long bodies a quarter of the memory: 5 + 128 x 0.17 + 8 MB. And each connection kept a copy of up to 32 KiB of its request (sock.rs), of which only the head is needed.

Change: the copy ends with the head. The budget for long bodies is what the process (5 MB) and the clients (172 KiB each) leave, between an eighth and a quarter of the memory: 5.5 MB of 32 in place of 8, 10.8 of 48, 48 of 192 as before. The sum stands in Config::max_body_bytes.

Cost where no crowd comes: with little memory bodies over 2.75 MB (4 before, at 32 MB) are forwarded as they arrive instead of being buffered, and can't be sent again.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -95,10 +95,16 @@
 /// discovery's old and new call, and those that one side is about to release while the other side already
 /// opens them.
 const PROCESS_DESCRIPTORS: usize = 24;
-/// Client connections per MB: the worst of them hold a head, a body and an answer, 0.2 MB in all.
+/// The most client connections per MB.
 const CLIENTS_PER_MB: usize = 4;
-/// Long bodies may use the memory divided by this.
-const BODY_MEMORY_DIVISOR: usize = 4;
+/// What a client's request holds at the most beside the budget for long bodies: a body and an answer of
+/// 64 KiB each, and the head with the buffers of its two connections.
+const CLIENT_BYTES: usize = (64 + 64 + 44) << 10;
+/// The memory of the process itself.
+const PROCESS_BYTES: usize = 5 << 20;
+/// Long bodies may use between these parts of the memory: what the process and its clients leave.
+const MAX_BODY_MEMORY_DIVISOR: usize = 4;
+const MIN_BODY_MEMORY_DIVISOR: usize = 8;
 /// Memory limit where the configuration sets none.
 const DEFAULT_MEMORY_MB: u64 = 192;
 /// The least memory with which a node can work.
@@ -138,7 +144,11 @@
     /// `descriptors`. It is half for as long as another process of the node holds any, as a process keeps
     /// the bodies that it has accepted while it ends.
     pub fn max_body_bytes(&self, descriptors: usize) -> usize {
-        let full = self.memory_mb * (1 << 20) / BODY_MEMORY_DIVISOR;
+        let memory = self.memory_mb << 20;
+        let clients = self.max_client_connections() * CLIENT_BYTES;
+        let full = memory
+            .saturating_sub(PROCESS_BYTES + clients)
+            .clamp(memory / MIN_BODY_MEMORY_DIVISOR, memory / MAX_BODY_MEMORY_DIVISOR);
         if descriptors < self.sockets {
             full / 2
         } else {
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -152,6 +152,30 @@
     }
 }
 
+/// A copy of the head of a request.
+#[derive(Default)]
+struct RequestHead {
+    bytes: Vec<u8>,
+    /// Where the head ends, once all of it has been copied.
+    end: Option<usize>,
+}
+
+impl RequestHead {
+    /// Copies received bytes up to the end of the head.
+    fn receive(&mut self, received: &[u8]) {
+        if self.end.is_some() {
+            return;
+        }
+        let room = MAX_HEAD_COPY_BYTES.saturating_sub(self.bytes.len());
+        self.bytes.extend_from_slice(&received[..received.len().min(room)]);
+        self.end = head_end(&self.bytes);
+        if let Some(end) = self.end {
+            self.bytes.truncate(end);
+            self.bytes.shrink_to_fit();
+        }
+    }
+}
+
 /// What a client's connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -212,8 +236,8 @@
     last_write_at: Cell<Instant>,
     /// The progress of the current request's body, if it is streamed.
     upload: RefCell<Option<Rc<UploadProgress>>>,
-    /// A copy of the start of the current request; `None` if it was not recorded.
-    request_head: RefCell<Option<Vec<u8>>>,
+    /// A copy of the head of the current request; `None` if it was not recorded.
+    request_head: RefCell<Option<RequestHead>>,
     /// Whether a request is being processed whose answer is not available yet.
     answer_pending: Cell<bool>,
 }
@@ -407,9 +431,8 @@
     /// tell.
     pub fn head_lacks(&self, name: &str) -> bool {
         let head = self.request_head.borrow();
-        let Some(head) = head.as_deref() else { return false };
-        let Some(end) = head_end(head) else { return false };
-        head[..end].split(|b| *b == b'\n').all(|line| {
+        let Some(head) = head.as_ref().filter(|head| head.end.is_some()) else { return false };
+        head.bytes.split(|b| *b == b'\n').all(|line| {
             let key = line.split(|b| *b == b':').next().unwrap_or_default();
             !key.trim_ascii().eq_ignore_ascii_case(name.as_bytes())
         })
@@ -418,7 +441,7 @@
     /// Determines whether bytes follow the current, complete request, whose body was `body` bytes long as
     /// received (`None` if unknown). If that can't be determined, they are assumed to.
     pub fn detect_pipelined(&self, body: Option<usize>) {
-        let end = self.request_head.borrow().as_deref().and_then(head_end);
+        let end = self.request_head.borrow().as_ref().and_then(|head| head.end);
         let expected = end.zip(body).map(|(head, body)| head + body);
         // A chunked request ends with a blank line after its last chunk or its trailers. A complete request
         // after it ends so too and is answered next; a partial one ends so only by chance.
@@ -588,13 +611,13 @@
         match self.phase.get() {
             Phase::Idle => {
                 self.begin_request(self.has_received.replace(true));
-                *self.request_head.borrow_mut() = Some(Vec::new());
+                *self.request_head.borrow_mut() = Some(RequestHead::default());
             }
             // The bytes taken for the start of the next request were not part of one, or its rest has now
             // arrived: restart its timeout, once.
             Phase::Reading if self.request_bytes.get() == 0 => {
                 self.begin_request(true);
-                *self.request_head.borrow_mut() = Some(Vec::new());
+                *self.request_head.borrow_mut() = Some(RequestHead::default());
             }
             Phase::Reading => {}
             Phase::Busy | Phase::Answering => self.pipelined.set(true),
@@ -605,8 +628,7 @@
         append_last_bytes(&mut last_bytes, bytes);
         self.last_bytes.set(last_bytes);
         if let Some(head) = &mut *self.request_head.borrow_mut() {
-            let room = MAX_HEAD_COPY_BYTES.saturating_sub(head.len());
-            head.extend_from_slice(&bytes[..bytes.len().min(room)]);
+            head.receive(bytes);
         }
     }
 
--- a/crates/node/tests/memory.rs
+++ b/crates/node/tests/memory.rs
@@ -38,7 +38,7 @@
 
 /// Sends a long request and reads a part of its answer slowly. The node may refuse it, or close its connection.
 fn transfer(node: SocketAddr, number: usize) -> std::io::Result<usize> {
-    let length = BODY_BYTES + if number % 2 == 0 { ADDITIONAL_BYTES } else { 0 };
+    let length = BODY_BYTES + if number.is_multiple_of(2) { ADDITIONAL_BYTES } else { 0 };
     let fields: String = (0..FIELDS).map(|n| format!("X-{n:03}: {}\r\n", "f".repeat(FIELD_BYTES))).collect();
     let head = request("slip", &format!("m{number}"), 10_000)
         .replace("Content-Length: 4\r\n\r\nwork", &format!("{fields}Content-Length: {length}\r\n\r\n"));
