A connection whose request was answered unread is not closed to make room

Need: since a lingering connection may be closed to make room, one whose client is still sending a request that was answered before all of it was read could be reset, and its answer overtaken. Found by reading the change.

Change: such a connection lingers for its whole time and is not chosen to make room. No failing test: on loopback what has been delivered stays readable after a reset.

--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -68,15 +68,18 @@
         }
     }
 
-    /// Reads on until the client closes, or until the connection is to be closed to make room for another.
+    /// Reads on until the client closes, or until the connection is to be closed to make room for another and
+    /// nothing more of its last request can arrive.
     async fn linger(&self, client: &Client) {
         let mut lingering = pin!(client.sock.linger());
         loop {
             tokio::select! {
                 biased;
                 () = &mut lingering => return,
-                () = client.close.notified() => if self.clients.confirm_close(client) {
-                    return;
+                () = client.close.notified(), if !client.sock.is_answered_unread() => {
+                    if self.clients.confirm_close(client) {
+                        return;
+                    }
                 }
             }
         }
@@ -183,7 +186,10 @@
                 is_fully_read = parsed.call.rest.is_none();
                 process(hub, &sock, parsed, arrived, remaining).await
             }
-            Err(error) => (error.answer(), End::Errored),
+            Err(error) => {
+                is_fully_read = !error.must_close;
+                (error.answer(), End::Errored)
+            }
         };
         match (ticket, &answer.body().content) {
             // A streamed answer ends the ticket with its last byte.
@@ -192,6 +198,9 @@
         }
         answer
     };
+    if !is_fully_read {
+        sock.set_answered_unread();
+    }
     let is_first = sock.answer_count() == 0;
     // While the node stops, connections that only poll /ready must not displace those that can be served.
     let is_check_while_stopping = is_ready_check && hub.stopping.get().is_some();
--- a/crates/node/src/front/table.rs
+++ b/crates/node/src/front/table.rs
@@ -256,6 +256,7 @@
         let client = {
             let open = self.open.borrow();
             let rank = |c: &Client| match c.sock.phase() {
+                _ if c.sock.is_answered_unread() => None,
                 (Phase::Idle, since) if c.sock.is_quiet() => {
                     // Many silent connections must not displace those that are in use.
                     let is_unused = !c.sock.has_received() && since.elapsed() >= NEW_CONNECTION_GRACE;
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -240,6 +240,8 @@
     request_head: RefCell<Option<RequestHead>>,
     /// Whether a request is being processed whose answer is not available yet.
     answer_pending: Cell<bool>,
+    /// Whether the last request was answered before all of it was read, so that more of it may arrive.
+    answered_unread: Cell<bool>,
 }
 
 impl TrackedSocket {
@@ -284,6 +286,7 @@
             upload: RefCell::default(),
             request_head: RefCell::default(),
             answer_pending: Cell::new(false),
+            answered_unread: Cell::new(false),
         }))
     }
 
@@ -490,6 +493,17 @@
         self.answer_pending.set(answer_pending);
     }
 
+    /// Records that the last request was answered before all of it was read. The connection carries no other.
+    pub fn set_answered_unread(&self) {
+        self.answered_unread.set(true);
+    }
+
+    /// Returns whether the last request was answered before all of it was read. Closing the connection while
+    /// the peer still sends would reset it, and the answer could be lost.
+    pub fn is_answered_unread(&self) -> bool {
+        self.answered_unread.get()
+    }
+
     /// Waits until the peer has closed or reset the connection. The kernel reports this even while earlier
     /// bytes are unread, which a reader would have to consume first.
     pub async fn wait_closed(&self) {
