Answers cut short and connections closed while one is owed are logged and counted

A line and a figure now for each answer that ends before it is whole (the client's id, bytes, time, why), and for each client's connection that the node closes with no byte of an answer, or within one (time, why). Clients that left do not count. The body of an answer stands in a module of its own, with the reasons typed.

No behaviour changed.

--- a/crates/node/src/backend/http1/answer.rs
+++ b/crates/node/src/backend/http1/answer.rs
@@ -224,7 +224,7 @@
     fn pass_on(&mut self, data: Bytes) -> Result<Frame<Bytes>, Truncated> {
         self.passed_bytes += data.len();
         if self.passed_bytes > MAX_BODY_BYTES {
-            return Err(Truncated);
+            return Err(Truncated::TooLong);
         }
         self.stall_timer.as_mut().reset((Instant::now() + STALL_TIMEOUT).into());
         if self.framing == Framing::Length(self.passed_bytes as u64) {
@@ -274,13 +274,13 @@
                     // Trailers are not forwarded.
                     _ => {}
                 },
-                Poll::Ready(Some(Err(_))) => return Poll::Ready(Some(Err(Truncated))),
+                Poll::Ready(Some(Err(_))) => return Poll::Ready(Some(Err(Truncated::Disconnected))),
                 Poll::Ready(None) => {
                     self.end();
                     return Poll::Ready(None);
                 }
                 Poll::Pending if self.stall_timer.as_mut().poll(cx).is_ready() => {
-                    return Poll::Ready(Some(Err(Truncated)))
+                    return Poll::Ready(Some(Err(Truncated::Stalled)))
                 }
                 Poll::Pending => return Poll::Pending,
             }
--- a/crates/node/src/blocks.rs
+++ b/crates/node/src/blocks.rs
@@ -207,10 +207,10 @@
         self.sent_bytes += bytes;
         self.rest.iter().for_each(|(_, upload)| upload.passed_on(bytes));
         if let Some(left) = &mut self.left {
-            *left = left.checked_sub(bytes).ok_or(Truncated)?;
+            *left = left.checked_sub(bytes).ok_or(Truncated::TooLong)?;
         }
         if self.sent_bytes > MAX_BODY_BYTES {
-            return Err(Truncated);
+            return Err(Truncated::TooLong);
         }
         Ok(())
     }
@@ -250,7 +250,7 @@
                     _ => {}
                 },
                 // The server sees a truncated body and does not execute the request.
-                Some(Err(_)) => return Poll::Ready(Some(Err(Truncated))),
+                Some(Err(_)) => return Poll::Ready(Some(Err(Truncated::Disconnected))),
                 None => {
                     upload.ended.set(true);
                     return Poll::Ready(None);
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -78,13 +78,24 @@
     pub body: Content,
 }
 
-/// The error for a body that ended early or exceeds [`MAX_BODY_BYTES`].
+/// Why a body is not complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Truncated;
+pub enum Truncated {
+    /// Its connection ended, or sent what is no body.
+    Disconnected,
+    /// Its sender paused for too long.
+    Stalled,
+    /// It exceeds its declared length or [`MAX_BODY_BYTES`].
+    TooLong,
+}
 
 impl std::fmt::Display for Truncated {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the body ended early or is too long")
+        f.write_str(match self {
+            Self::Disconnected => "the body ended early",
+            Self::Stalled => "the body stalled",
+            Self::TooLong => "the body is too long",
+        })
     }
 }
 
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -2,19 +2,17 @@
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::pin::{pin, Pin};
+use std::pin::pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use glenwood_core::{Final, Incoming as CoreRequest, Rejection, Token, MAX_CLIENT_WAIT};
 use glenwood_operation::budget::Share;
-use glenwood_operation::figures::{End, Ticket};
+use glenwood_operation::figures::End;
 use glenwood_operation::places::Slot;
 use glenwood_policy::{Effect, Millis};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Incoming};
 use hyper::header::{
     HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER, TRANSFER_ENCODING,
 };
@@ -24,15 +22,13 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use super::answer_body::{AnswerBody, Forwarded};
 use super::table::{Client, Clients, Ending};
 use crate::blocks::{Blocks, BlocksBuilder, RemainingBody};
-use crate::call::{
-    Call, Content, Origin, Reply, Truncated, KEY, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, ORG, REMAINING,
-    TXN,
-};
+use crate::call::{Call, Origin, Reply, KEY, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, ORG, REMAINING, TXN};
 use crate::headers::end_to_end;
-use crate::hub::{self, metrics_outcome, Hub};
-use crate::sock::{Io, Phase, TrackedSocket};
+use crate::hub::{self, metrics_outcome, Hub, UnansweredClose};
+use crate::sock::{Io, Pending, Phase, TrackedSocket};
 
 /// How long a connection is still read after its last answer. Closing it with unread bytes would send a
 /// reset, which can overtake the answer.
@@ -62,12 +58,30 @@
             .max_buf_size(MAX_HEAD_BYTES)
             .auto_date_header(false)
             .serve_connection(Io(client.sock.clone()), service);
-        // An error on a client's connection concerns only that client; it is not logged.
-        if self.drive(conn, &client).await {
+        let ended = self.drive(conn, &client).await;
+        self.report_if_unanswered(&client, &ended);
+        if matches!(ended, Driven::Finished(_)) {
             let _ = timeout(LINGER_TIMEOUT, self.linger(&client)).await;
         }
     }
 
+    /// Logs and counts a connection that this node ends while a request on it has no whole answer. A client
+    /// that has left is owed none.
+    fn report_if_unanswered(&self, client: &Client, ended: &Driven) {
+        let (phase, since) = client.sock.phase();
+        let is_owed = matches!(phase, Phase::Busy | Phase::Answering);
+        if !is_owed || client.ending() == Ending::Left || client.sock.pending() == Pending::End {
+            return;
+        }
+        let cause = match ended {
+            Driven::Finished(Err(error)) => error_with_source(error),
+            Driven::Finished(Ok(())) => "the connection is over".to_string(),
+            Driven::Dropped => format!("{:?}", client.ending()),
+        };
+        let is_begun = phase == Phase::Answering && client.sock.any_written();
+        self.hub.report_unanswered_close(&UnansweredClose { is_begun, elapsed: since.elapsed(), cause });
+    }
+
     /// Reads on until the client closes, or until the connection is to be closed to make room for another and
     /// nothing more of its last request can arrive.
     async fn linger(&self, client: &Client) {
@@ -85,70 +99,40 @@
         }
     }
 
-    /// Runs a connection until hyper is done with it (returns true) or it is to be dropped at once (returns
-    /// false). A client that has closed its connection no longer waits for its answer; hyper reads at most
+    /// Runs a connection until hyper is done with it or it is to be dropped at once. A client that has closed its connection no longer waits for its answer; hyper reads at most
     /// one request ahead and may miss the close, so the socket is watched here too.
-    async fn drive(&self, conn: impl Future, client: &Client) -> bool {
+    async fn drive(&self, conn: impl Future<Output = hyper::Result<()>>, client: &Client) -> Driven {
         let (mut conn, mut arrivals) = (pin!(conn), pin!(client.sock.watch_arrivals()));
         loop {
             tokio::select! {
                 // Poll hyper first: a request that arrives while the connection is being closed is still
                 // served.
                 biased;
-                _ = &mut conn => return true,
+                result = &mut conn => return Driven::Finished(result),
                 never = &mut arrivals => match never {},
                 () = client.sock.closed_while_answer_pending() => {
                     client.set_ending(Ending::Left);
-                    return false;
+                    return Driven::Dropped;
                 }
                 () = client.close.notified() => if self.clients.confirm_close(client) {
-                    return false;
+                    return Driven::Dropped;
                 }
             }
         }
     }
 }
 
-/// The body of an answer that is being written to a client.
-#[derive(Default)]
-struct AnswerBody {
-    content: Content,
-    /// The statistics ticket of a request whose answer is streamed; ended with the last byte.
-    ticket: Option<Ticket>,
-}
-
-impl AnswerBody {
-    fn end(&mut self, end: End) {
-        self.ticket.take().into_iter().for_each(|ticket| ticket.end(end));
-    }
+/// How a client's connection was driven to its end.
+enum Driven {
+    /// hyper is done with it.
+    Finished(hyper::Result<()>),
+    /// It is to be dropped at once.
+    Dropped,
 }
 
-impl Body for AnswerBody {
-    type Data = Bytes;
-    type Error = Truncated;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        let this = self.get_mut();
-        let frame = ready!(Pin::new(&mut this.content).poll_frame(cx));
-        match &frame {
-            // The client sees the answer cut short.
-            Some(Err(_)) => this.end(End::Errored),
-            _ if this.content.is_end_stream() => this.end(End::Answered),
-            _ => {}
-        }
-        Poll::Ready(frame)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.content.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.content.size_hint()
-    }
+/// The text of an error and of what caused it.
+fn error_with_source(error: &hyper::Error) -> String {
+    std::error::Error::source(error).map_or_else(|| error.to_string(), |source| format!("{error}: {source}"))
 }
 
 /// Answers one request.
@@ -168,6 +152,7 @@
     } else {
         let class = class_of(hub, request.uri());
         let read = read(hub, &sock, class.clone(), request).await;
+        let id = read.as_ref().ok().map(|(parsed, _)| parsed.call.id.clone());
         // Dropped with this future if the client disconnects before it has its answer.
         let ticket = class.map(|class| hub.issue_ticket(&class));
         let (mut answer, end) = match read {
@@ -191,10 +176,11 @@
                 (error.answer(), End::Errored)
             }
         };
-        match (ticket, &answer.body().content) {
+        if answer.body().is_streamed() {
             // A streamed answer ends the ticket with its last byte.
-            (ticket, Content::Streamed(_)) => answer.body_mut().ticket = ticket,
-            (ticket, Content::Buffered(_)) => ticket.into_iter().for_each(|ticket| ticket.end(end)),
+            answer.body_mut().forward(Forwarded::new(hub.clone(), id, ticket));
+        } else {
+            ticket.into_iter().for_each(|ticket| ticket.end(end));
         }
         answer
     };
@@ -312,7 +298,7 @@
 }
 
 fn served(reply: Reply) -> Response<AnswerBody> {
-    let mut answer = Response::new(AnswerBody { content: reply.body, ticket: None });
+    let mut answer = Response::new(AnswerBody::new(reply.body));
     *answer.headers_mut() = reply.headers;
     answer
 }
@@ -496,6 +482,7 @@
 mod tests {
     use std::cell::{Cell, OnceCell};
 
+    use bytes::Bytes;
     use glenwood_core::{AttemptId, AttemptResult};
     use glenwood_policy::ServerId;
     use serde_json::json;
@@ -504,6 +491,7 @@
     use tokio::task::{spawn_local, LocalSet};
 
     use super::*;
+    use crate::call::Content;
     use crate::config;
     use crate::hub::HubActions;
 
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! Accepts clients' connections and determines the protocol of each.
 
+mod answer_body;
 pub mod http1;
 pub mod msgpack;
 pub mod table;
--- a/crates/node/src/front/msgpack.rs
+++ b/crates/node/src/front/msgpack.rs
@@ -173,6 +173,9 @@
                 },
                 () = tokio::time::sleep_until(wake_at.into()) => {
                     log::write_line("msgpack: a message or an answer timed out; connection closed".to_string());
+                    if has_open_calls || has_output {
+                        self.hub.figures.with(|figures| figures.closed_unanswered += 1);
+                    }
                     return client.set_ending(Ending::Slow);
                 }
             }
--- a/crates/node/src/front/table.rs
+++ b/crates/node/src/front/table.rs
@@ -74,6 +74,11 @@
         self.ending.set(ending);
     }
 
+    /// The reason for which the connection is about to end.
+    pub fn ending(&self) -> Ending {
+        self.ending.get()
+    }
+
     fn request_close(&self, ending: Ending) {
         self.set_ending(ending);
         self.close.notify_one();
--- a/crates/node/src/hub/answers.rs
+++ b/crates/node/src/hub/answers.rs
@@ -1,4 +1,4 @@
-//! Logging and counting of answers that do not belong to their requests.
+//! Logging and counting of answers that do not belong to their requests, and of such that are not whole.
 
 use std::cell::Cell;
 use std::time::{Duration, Instant};
@@ -9,6 +9,7 @@
 use glenwood_trace::TraceEvent;
 
 use super::Hub;
+use crate::call::Truncated;
 use crate::log;
 
 /// The most log lines about answers out of turn within [`LINE_WINDOW`]; the metrics count all.
@@ -38,6 +39,28 @@
     span.as_secs_f64() * 1000.0
 }
 
+/// An answer that ended before it was whole, after a part of it was forwarded.
+pub struct TruncatedAnswer<'a> {
+    /// The client's id of the request.
+    pub id: &'a str,
+    /// How many bytes of its body were forwarded.
+    pub bytes: usize,
+    /// How long it was forwarded.
+    pub elapsed: Duration,
+    /// Why it ended.
+    pub reason: Truncated,
+}
+
+/// A client's connection that this node ended while a request on it had no whole answer.
+pub struct UnansweredClose {
+    /// Whether a part of the answer was written.
+    pub is_begun: bool,
+    /// For how long the request had been served, or its answer written.
+    pub elapsed: Duration,
+    /// Why it was ended.
+    pub cause: String,
+}
+
 impl Hub {
     /// An answer began after `elapsed`, sooner than its server was known to answer; the true one would come
     /// within `expected_within`.
@@ -113,6 +136,36 @@
         }
     }
 
+    /// An answer that was being forwarded ended before it was whole.
+    pub fn report_truncated_answer(&self, answer: &TruncatedAnswer<'_>) {
+        self.figures.with(|figures| figures.truncated_answers += 1);
+        if self.answer_log_budget.take(Instant::now()) {
+            let TruncatedAnswer { id, bytes, elapsed, reason } = answer;
+            log::write_line(format!(
+                "{} answer truncated: request {id}, {bytes} bytes of its body in {:.1} ms, {reason}",
+                self.config.name,
+                as_ms(*elapsed)
+            ));
+        }
+    }
+
+    /// A client's connection was ended while a request on it had no whole answer.
+    pub fn report_unanswered_close(&self, close: &UnansweredClose) {
+        let UnansweredClose { is_begun, elapsed, cause } = close;
+        self.figures.with(|figures| match is_begun {
+            true => figures.closed_within_answer += 1,
+            false => figures.closed_unanswered += 1,
+        });
+        if self.answer_log_budget.take(Instant::now()) {
+            let progress = if *is_begun { "within an answer" } else { "with no byte of an answer" };
+            log::write_line(format!(
+                "{} connection closed {progress}: after {:.1} ms, {cause}",
+                self.config.name,
+                as_ms(*elapsed)
+            ));
+        }
+    }
+
     /// An answer was not accepted as the answer of its request; `attempt` is `None` for a probe.
     pub fn answer_doubted(&self, server: ServerId, attempt: Option<AttemptId>, verdict: Verdict) {
         self.figures.with(|figures| figures.doubted_answers += 1);
--- a/crates/operation/src/figures.rs
+++ b/crates/operation/src/figures.rs
@@ -85,6 +85,12 @@
     pub cut_off_answers: u64,
     /// Responses of undeclared length that were forwarded in part, as their time was near.
     pub answers_in_parts: u64,
+    /// Answers that ended before they were whole, after a part of them was forwarded.
+    pub truncated_answers: u64,
+    /// Clients' connections that were closed within an answer.
+    pub closed_within_answer: u64,
+    /// Clients' connections that were closed while a request had no byte of an answer.
+    pub closed_unanswered: u64,
     /// Configurations loaded at SIGHUP.
     pub conf_loaded: u64,
     /// Configurations rejected at SIGHUP.
@@ -218,6 +224,24 @@
                 self.answers_in_parts,
                 "Answers of undeclared length that were forwarded before they were complete.",
             ),
+            (
+                "answers_truncated",
+                "counter",
+                self.truncated_answers,
+                "Answers that ended before they were whole, after a part was forwarded.",
+            ),
+            (
+                "connections_closed_within_answer",
+                "counter",
+                self.closed_within_answer,
+                "Connections of clients that were closed within an answer.",
+            ),
+            (
+                "connections_closed_unanswered",
+                "counter",
+                self.closed_unanswered,
+                "Connections of clients that were closed while a request had no byte of an answer.",
+            ),
             ("conf_loaded", "counter", self.conf_loaded, "Configurations taken at SIGHUP."),
             ("conf_invalid", "counter", self.conf_invalid, "Configurations turned down at SIGHUP."),
         ];
