Failing tests: answers that break off, stall, never end, or end their connection

Real processes over loopback. A server is driven by hand and the node held up (SIGSTOP) while an answer breaks off, so that the bad order comes each time: at once, and in the moment in which the answer is to be forwarded.

What slow_peers.rs and the new tests share moved to peers/answers.rs; a client can now also give up reading. No check of slow_peers.rs changed.

--- /dev/null
+++ b/crates/node/tests/broken_answers.rs
@@ -0,0 +1,416 @@
+//! Answers that break off, stall or never end after they have begun, and what their clients get all the same.
+
+mod peers;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::time::{Duration, Instant};
+
+use peers::answers::{
+    ask, body, closing, read_outcome, read_outcome_until, Form, Outcome, LATE_ANSWER_SLACK,
+};
+use peers::{answer, config, host, request, Client, Node, Peer, Registry, Reply};
+use serde_json::json;
+
+/// The declared length of a long answer.
+const DECLARED_BYTES: usize = 200_000;
+
+/// How the length of a response is given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Length {
+    Declared,
+    Undeclared(Form),
+}
+
+impl Length {
+    const ALL: [Self; 3] =
+        [Self::Declared, Self::Undeclared(Form::Chunked), Self::Undeclared(Form::UpToTheClose)];
+
+    fn head(self) -> Vec<u8> {
+        match self {
+            Self::Declared => format!("HTTP/1.1 200 OK\r\nContent-Length: {DECLARED_BYTES}\r\n\r\n").into(),
+            Self::Undeclared(form) => form.head().to_vec(),
+        }
+    }
+
+    fn part(self, bytes: usize) -> Vec<u8> {
+        match self {
+            Self::Declared => body(bytes),
+            Self::Undeclared(form) => form.framed(&body(bytes)),
+        }
+    }
+}
+
+/// A server whose connections a test drives by hand: it reads a request and hands over the connection.
+struct ManualServer {
+    address: SocketAddr,
+    requests: Receiver<TcpStream>,
+}
+
+impl ManualServer {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let (sender, requests) = channel();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let sender = sender.clone();
+                std::thread::spawn(move || Self::serve(stream, &sender));
+            }
+        });
+        Self { address, requests }
+    }
+
+    /// Reads heads; all requests of these tests to this server fit into one segment.
+    fn serve(mut stream: TcpStream, sender: &Sender<TcpStream>) {
+        let mut buffer = [0; 8192];
+        while let Ok(count @ 1..) = stream.read(&mut buffer) {
+            if buffer[..count].starts_with(b"GET /health") {
+                let _ = stream.write_all(&answer(200, "", ""));
+                continue;
+            }
+            // A test that is over reads no more requests.
+            let _ = sender.send(stream);
+            return;
+        }
+    }
+
+    /// The connection of the next request.
+    fn next_request(&self) -> TcpStream {
+        self.requests.recv_timeout(peers::WAIT_TIMEOUT).expect("a request")
+    }
+}
+
+/// How a server's connection ends.
+#[derive(Clone, Copy, Debug)]
+enum Ending {
+    Close,
+    Reset,
+}
+
+impl Ending {
+    const ALL: [Self; 2] = [Self::Close, Self::Reset];
+
+    fn apply(self, stream: TcpStream) {
+        if let Self::Reset = self {
+            socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("a socket");
+        }
+        drop(stream);
+    }
+}
+
+fn start_node(addresses: &[SocketAddr]) -> (Node, Registry) {
+    let hosts: Vec<_> =
+        addresses.iter().enumerate().map(|(n, at)| host(&format!("s{n}"), *at, "active", 0)).collect();
+    let registry = Registry::new(&hosts);
+    let mut node_config = config(registry.address);
+    node_config["limits"] = json!({"cores": 1.0, "memory_mb": 192, "sockets": 1024});
+    // Servers that break off are to be used again and again.
+    node_config["settings"]["Contract"]["ColdShare"] = json!(1.0);
+    (Node::ready(&node_config), registry)
+}
+
+/// Sends a request, of which the answer is read elsewhere.
+fn send(node: &Node, class: &str, id: &str, wait: Duration) -> std::thread::JoinHandle<Outcome> {
+    let (address, text) = (node.address, request(class, id, wait.as_millis() as u64));
+    std::thread::spawn(move || ask(address, &text))
+}
+
+/// How long the client of an answer that breaks off waits.
+const PATIENT_WAIT: Duration = Duration::from_secs(10);
+
+/// An answer breaks off right after its first bytes, while the node is held up.
+fn break_off_at_once(node: &Node, server: &ManualServer, length: Length, ending: Ending) {
+    let mut stream = server.next_request();
+    node.suspend();
+    stream.write_all(&[length.head(), length.part(10)].concat()).expect("the node reads");
+    ending.apply(stream);
+    node.resume();
+}
+
+/// An answer breaks off while the node is held up, in the moment in which it is to be forwarded: one second
+/// after its first byte.
+fn break_off_when_due(node: &Node, server: &ManualServer, length: Length, ending: Ending) {
+    let mut stream = server.next_request();
+    stream.write_all(&[length.head(), length.part(30_000)].concat()).expect("the node reads");
+    let began = Instant::now();
+    std::thread::sleep(Duration::from_millis(700));
+    node.suspend();
+    stream.write_all(&length.part(10)).expect("the node reads");
+    ending.apply(stream);
+    std::thread::sleep(Duration::from_millis(1_100).saturating_sub(began.elapsed()));
+    node.resume();
+}
+
+/// Guards against closing a connection with no byte of an answer where the answer of a server breaks off in
+/// the moment in which it is forwarded: the error must not overtake the head that was written before it.
+#[test]
+fn an_answer_that_breaks_off_as_it_is_forwarded_leaves_its_client_an_answer() {
+    let server = ManualServer::start();
+    let (node, _registry) = start_node(&[server.address]);
+    for (number, length) in Length::ALL.iter().enumerate() {
+        for (again, ending) in Ending::ALL.iter().cycle().take(4).enumerate() {
+            let id = format!("t{number}-{again}");
+            let client = send(&node, "slip", &id, PATIENT_WAIT);
+            break_off_at_once(&node, &server, *length, *ending);
+            let outcome = client.join().expect("the client ends");
+            let log = || node.grep_log(|line| line.contains("connection closed")).join("\n");
+            assert!(outcome.status != 0, "{length:?}, {ending:?}, at once: no answer: {}", log());
+            assert!(outcome.body.is_none() || outcome.status != 200, "{length:?}, {ending:?}: {outcome:?}");
+            let client = send(&node, "slip", &format!("{id}-due"), PATIENT_WAIT);
+            break_off_when_due(&node, &server, *length, *ending);
+            let outcome = client.join().expect("the client ends");
+            assert!(outcome.status != 0, "{length:?}, {ending:?}, when due: no answer: {}", log());
+            // The end of the connection is the regular end of this form.
+            let is_whole =
+                *length == Length::Undeclared(Form::UpToTheClose) && matches!(ending, Ending::Close);
+            assert!(
+                is_whole || outcome.body.is_none() || outcome.status != 200,
+                "{length:?}, {ending:?}: {outcome:?}"
+            );
+        }
+    }
+}
+
+/// Guards against passing a broken answer on where nothing of it was forwarded yet: a request that is safe to
+/// repeat is still owed the answer of another server.
+#[test]
+fn a_safe_request_whose_answer_broke_off_before_it_was_forwarded_is_sent_again() {
+    let (server, healthy) = (ManualServer::start(), Peer::healthy("whole"));
+    let (node, _registry) = start_node(&[server.address, healthy.address]);
+    let mut broken = 0;
+    for number in 0..40 {
+        let client = send(&node, "look", &format!("t{number}"), PATIENT_WAIT);
+        // About one request in two goes to the other server first.
+        peers::until("the request is answered or waits for this server", || {
+            if client.is_finished() {
+                return true;
+            }
+            let Ok(mut stream) = server.requests.try_recv() else { return false };
+            let (length, ending) = (Length::ALL[broken % 3], Ending::ALL[broken % 2]);
+            // A body that ends with its connection would be whole.
+            let length = match (length, ending) {
+                (Length::Undeclared(Form::UpToTheClose), Ending::Close) => Length::Declared,
+                _ => length,
+            };
+            node.suspend();
+            stream.write_all(&[length.head(), length.part(10)].concat()).expect("the node reads");
+            ending.apply(stream);
+            node.resume();
+            broken += 1;
+            true
+        });
+        let outcome = client.join().expect("the client ends");
+        assert_eq!((outcome.status, outcome.body.as_deref()), (200, Some(&b"whole"[..])), "{outcome:?}");
+    }
+    assert!(broken >= 6, "only {broken} answers broke off");
+}
+
+/// How long the clients of answers that stall wait.
+const CLIENT_WAIT: Duration = Duration::from_secs(1);
+/// How long a client goes on reading an answer that should have ended.
+const READING_TIME: Duration = Duration::from_secs(4);
+
+/// What a server writes of an answer that it never finishes.
+#[derive(Clone, Copy, Debug)]
+struct Stalled {
+    length: Length,
+    /// How long before its client's time the answer begins.
+    before: Duration,
+    /// How much of its body comes with its head.
+    first_bytes: usize,
+    /// How much more comes every [`TRICKLE_PAUSE`].
+    trickle_bytes: usize,
+}
+
+const TRICKLE_PAUSE: Duration = Duration::from_millis(100);
+
+impl Stalled {
+    fn run(self, mut stream: TcpStream, received: Instant) {
+        std::thread::sleep((CLIENT_WAIT - self.before).saturating_sub(received.elapsed()));
+        let first = [self.length.head(), self.length.part(self.first_bytes)].concat();
+        let mut is_open = stream.write_all(&first).is_ok();
+        while is_open && received.elapsed() < CLIENT_WAIT + READING_TIME {
+            std::thread::sleep(TRICKLE_PAUSE);
+            is_open =
+                self.trickle_bytes == 0 || stream.write_all(&self.length.part(self.trickle_bytes)).is_ok();
+        }
+    }
+}
+
+/// The text of a request whose body is so long that it is forwarded while it arrives.
+fn upload_text(id: &str) -> String {
+    const REQUEST_BYTES: usize = 3_500_000;
+    let framing = format!("Content-Length: {REQUEST_BYTES}\r\n\r\n");
+    let head = request("slip", id, CLIENT_WAIT.as_millis() as u64);
+    head.replace("Content-Length: 4\r\n\r\nwork", &framing) + &"x".repeat(REQUEST_BYTES)
+}
+
+fn outcome_of_stalled(case: Stalled, is_upload: bool) -> Outcome {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            std::thread::spawn(move || {
+                let mut received = Vec::new();
+                let mut buffer = vec![0; 1 << 16];
+                while let Ok(count @ 1..) = stream.read(&mut buffer) {
+                    received.extend_from_slice(&buffer[..count]);
+                    let head = received.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4);
+                    let Some(head) = head else { continue };
+                    if received.starts_with(b"GET /health") {
+                        received.clear();
+                        let _ = stream.write_all(&answer(200, "", ""));
+                        continue;
+                    }
+                    let text = String::from_utf8_lossy(&received[..head]).to_lowercase();
+                    let length = text.lines().find_map(|line| line.strip_prefix("content-length: "));
+                    let length = length.map_or(0, |length| length.parse().expect("a length"));
+                    if received.len() >= head + length {
+                        return case.run(stream, Instant::now());
+                    }
+                }
+            });
+        }
+    });
+    let hosts = [host("s0", address, "active", 0)];
+    let registry = Registry::new(&hosts);
+    let mut node_config = config(registry.address);
+    node_config["limits"] = json!({"cores": 1.0, "memory_mb": 32, "sockets": 1024});
+    let node = Node::ready(&node_config);
+    let text =
+        if is_upload { upload_text("u1") } else { request("slip", "t1", CLIENT_WAIT.as_millis() as u64) };
+    let mut stream = TcpStream::connect(node.address).expect("the node listens");
+    stream.write_all(closing(&text).as_bytes()).expect("the node reads");
+    let sent = Instant::now();
+    read_outcome_until(&mut stream, sent, sent + CLIENT_WAIT + READING_TIME)
+}
+
+/// Checks several cases at the same time.
+fn side_by_side<T: Copy + Sync>(cases: &[T], check: impl Fn(T) + Sync) {
+    std::thread::scope(|scope| {
+        for case in cases {
+            scope.spawn(|| check(*case));
+        }
+    });
+}
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// How long before its client's time an answer begins, what comes at once, and what comes later.
+const STALLS: [(u64, usize, usize); 8] = [
+    (200, 30, 0),
+    (100, 30, 0),
+    (700, 3_000, 0),
+    (200, 3_000, 0),
+    (700, 20_000, 0),
+    (900, 60_000, 0),
+    (200, 30, 1),
+    (200, 3_000, 100),
+];
+
+/// Guards against an answer that has begun and then stalls, or trickles, and is neither finished nor ended
+/// when its final answer is due: half a second after its client's time at the latest.
+#[test]
+fn an_answer_that_stalls_ends_within_half_a_second_of_its_clients_time() {
+    let cases: Vec<Stalled> = Length::ALL
+        .iter()
+        .flat_map(|length| {
+            STALLS.map(|(before, first_bytes, trickle_bytes)| Stalled {
+                length: *length,
+                before: ms(before),
+                first_bytes,
+                trickle_bytes,
+            })
+        })
+        .collect();
+    side_by_side(&cases, |case| {
+        let outcome = outcome_of_stalled(case, false);
+        assert!(outcome.status != 0, "{case:?}: {outcome:?}");
+        assert!(outcome.end <= CLIENT_WAIT + LATE_ANSWER_SLACK, "{case:?}: ends at {:?}", outcome.end);
+        assert!(outcome.body.is_none() || outcome.status != 200, "{case:?}: not whole: {outcome:?}");
+    });
+}
+
+/// Guards against the same for a request whose body is forwarded while it arrives.
+#[test]
+fn the_answer_to_a_long_request_that_stalls_ends_within_half_a_second_of_its_clients_time() {
+    side_by_side(&Length::ALL, |length| {
+        let case = Stalled { length, before: ms(200), first_bytes: 3_000, trickle_bytes: 0 };
+        let outcome = outcome_of_stalled(case, true);
+        assert!(outcome.status != 0, "{case:?}: {outcome:?}");
+        assert!(outcome.end <= CLIENT_WAIT + LATE_ANSWER_SLACK, "{case:?}: ends at {:?}", outcome.end);
+    });
+}
+
+/// Guards against an answer of undeclared length that goes on without end, slower than any peer of the
+/// operators' pages writes (64 kB/s): after 5 s of lagging behind that rate, it is ended.
+#[test]
+fn an_endless_answer_slower_than_any_peer_is_ended() {
+    const LAG: Duration = Duration::from_secs(5);
+    const PEER_BYTES_PER_S: f64 = 64_000.0;
+    const BYTES_PER_S: f64 = 20_000.0;
+    let latest = LAG.div_f64(1.0 - BYTES_PER_S / PEER_BYTES_PER_S) + LATE_ANSWER_SLACK;
+    side_by_side(&[Form::Chunked, Form::UpToTheClose], |form| {
+        let peer = Peer::new(move |message| match message.path() {
+            "/health" => Reply::Now(answer(200, "", "")),
+            _ => form.response(400_000, (BYTES_PER_S / 10.0) as usize, ms(100)),
+        });
+        let (node, _registry) = start_node(&[peer.address]);
+        let outcome = ask(node.address, &request("slip", "t1", CLIENT_WAIT.as_millis() as u64));
+        assert_eq!((outcome.status, &outcome.body), (200, &None), "{form:?}: ends at {:?}", outcome.end);
+        assert!(outcome.end <= latest, "{form:?}: ends at {:?}, {latest:?} allowed", outcome.end);
+    });
+}
+
+/// Guards against counting the time in which a client does not read as a pause of its server, and an answer of
+/// declared length that comes slowly as one without end.
+#[test]
+fn a_sound_answer_to_a_client_that_pauses_is_whole() {
+    const ANSWER_BYTES: usize = 12_000_000;
+    let peer = Peer::new(|message| match message.path() {
+        "/health" => Reply::Now(answer(200, "", "")),
+        _ => Form::Chunked.response(ANSWER_BYTES, 500_000, Duration::ZERO),
+    });
+    let (node, _registry) = start_node(&[peer.address]);
+    let mut stream = TcpStream::connect(node.address).expect("the node listens");
+    let text = closing(&request("slip", "t1", CLIENT_WAIT.as_millis() as u64));
+    stream.write_all(text.as_bytes()).expect("the node reads");
+    let sent = Instant::now();
+    // Well over the time, the pauses and the lag that a server is allowed, but less than a client may pause.
+    std::thread::sleep(ms(3_000));
+    let outcome = read_outcome(&mut stream, sent);
+    assert_eq!(outcome.body.map(|body| body.len()), Some(ANSWER_BYTES));
+}
+
+/// Guards against closing a connection behind an answer of undeclared length while requests that were read
+/// behind it have no answer.
+#[test]
+fn requests_sent_behind_an_answer_of_undeclared_length_are_answered() {
+    for form in [Form::Chunked, Form::UpToTheClose] {
+        // Sent in parts because it is long, or because it is slow.
+        for (bytes, piece, pause) in [(300_000, 300_000, 0), (60_000, 3_000, 70)] {
+            let peer = Peer::new(move |message| match message.header("x-txn") {
+                Some("first") => form.response(bytes, piece, ms(pause)),
+                _ => Reply::Now(answer(200, "", "short")),
+            });
+            let (node, _registry) = start_node(&[peer.address]);
+            let mut client = Client::to(&node);
+            let ids = ["first", "second", "third"];
+            let texts = ids.map(|id| request("slip", id, PATIENT_WAIT.as_millis() as u64));
+            client.send(&texts.concat());
+            let expected = [body(bytes), b"short".to_vec(), b"short".to_vec()];
+            for (id, expected) in ids.iter().zip(expected) {
+                let received = client.receive();
+                let received = received.unwrap_or_else(|| panic!("{form:?}, {bytes} bytes: {id}: no answer"));
+                assert_eq!(received.status(), 200, "{id}");
+                assert!(received.body == expected, "{form:?}, {id}: another body");
+            }
+            // The connection is free again, and can be told from a busy one.
+            assert_eq!(client.ask(&request("slip", "fourth", 5_000)).body, b"short", "{form:?}");
+        }
+    }
+}
--- a/crates/node/tests/peers/mod.rs
+++ b/crates/node/tests/peers/mod.rs
@@ -11,6 +11,7 @@
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 
+pub mod answers;
 pub mod calls;
 pub mod dice;
 pub mod links;
--- a/crates/node/tests/slow_peers.rs
+++ b/crates/node/tests/slow_peers.rs
@@ -8,10 +8,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use peers::{answer, config, host, request, Node, Peer, Pieces, Registry, Reply, WAIT_TIMEOUT};
+use peers::answers::{ask, body, closing, read_outcome, Form, Outcome, LATE_ANSWER_SLACK};
+use peers::{answer, config, host, request, Node, Peer, Registry, Reply};
 
-/// How long after its client's time a final answer may come before the request counts as lost.
-const LATE_ANSWER_SLACK: Duration = Duration::from_millis(500);
 /// How long the rest of a long answer may be held back.
 const MAX_HELD_BACK: Duration = Duration::from_secs(2);
 /// How long the clients of these tests wait.
@@ -21,105 +20,6 @@
 /// How long a server pauses between two pieces.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// How a response of undeclared length ends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Form {
-    Chunked,
-    UpToTheClose,
-    Http10,
-}
-
-impl Form {
-    const ALL: [Self; 3] = [Self::Chunked, Self::UpToTheClose, Self::Http10];
-
-    fn head(self) -> &'static [u8] {
-        match self {
-            Self::Chunked => b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
-            Self::UpToTheClose => b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
-            Self::Http10 => b"HTTP/1.0 200 OK\r\n\r\n",
-        }
-    }
-
-    /// A response that is written in pieces of `piece_bytes` each.
-    fn response(self, body_bytes: usize, piece_bytes: usize, pause: Duration) -> Reply {
-        let mut pieces: Vec<Vec<u8>> =
-            body(body_bytes).chunks(piece_bytes).map(|piece| self.framed(piece)).collect();
-        pieces[0].splice(0..0, self.head().iter().copied());
-        if self == Self::Chunked {
-            pieces.last_mut().expect("a piece").extend(b"0\r\n\r\n");
-        }
-        Reply::Pieces(Pieces { pieces, pause, closes: self != Self::Chunked })
-    }
-
-    fn framed(self, piece: &[u8]) -> Vec<u8> {
-        if self != Self::Chunked {
-            return piece.to_vec();
-        }
-        [format!("{:x}\r\n", piece.len()).as_bytes(), piece, b"\r\n"].concat()
-    }
-}
-
-/// A body in which a part that is missing or moved shows.
-fn body(length: usize) -> Vec<u8> {
-    (0..length as u32).map(|n| b'a' + ((n.wrapping_mul(2_654_435_761) >> 24) % 26) as u8).collect()
-}
-
-/// What a client saw of an answer.
-#[derive(Debug)]
-struct Outcome {
-    status: u16,
-    /// The body, if a client can tell that it is whole.
-    body: Option<Vec<u8>>,
-    /// When the first byte came, after the last byte of the request.
-    first_byte: Duration,
-    /// When the last byte came.
-    last_byte: Duration,
-}
-
-/// The body of a message as far as it came, if it is whole.
-fn whole_body(head: &str, mut rest: &[u8]) -> Option<Vec<u8>> {
-    if let Some(length) = head.lines().find_map(|line| line.strip_prefix("content-length:")) {
-        return (rest.len() == length.trim().parse::<usize>().ok()?).then(|| rest.to_vec());
-    }
-    let mut body = Vec::new();
-    loop {
-        let line = rest.windows(2).position(|w| w == b"\r\n")?;
-        let size = usize::from_str_radix(std::str::from_utf8(&rest[..line]).ok()?, 16).ok()?;
-        if size == 0 {
-            return Some(body);
-        }
-        body.extend(rest.get(line + 2..line + 2 + size)?);
-        rest = rest.get(line + 4 + size..)?;
-    }
-}
-
-/// Reads an answer up to the end of its connection, which the request must have asked for.
-fn read_outcome(stream: &mut TcpStream, sent: Instant) -> Outcome {
-    stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("a socket");
-    let (mut raw, mut first_byte, mut last_byte) = (Vec::new(), None, sent.elapsed());
-    let mut buffer = vec![0; 1 << 16];
-    while let Ok(count @ 1..) = stream.read(&mut buffer) {
-        raw.extend(&buffer[..count]);
-        last_byte = sent.elapsed();
-        first_byte.get_or_insert(last_byte);
-    }
-    let end = raw.windows(4).position(|w| w == b"\r\n\r\n").unwrap_or(raw.len());
-    let head = String::from_utf8_lossy(&raw[..end]).to_lowercase();
-    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
-    let body = whole_body(&head, raw.get(end + 4..).unwrap_or_default());
-    Outcome { status, body, first_byte: first_byte.unwrap_or(last_byte), last_byte }
-}
-
-fn closing(text: &str) -> String {
-    text.replacen("\r\n", "\r\nConnection: close\r\n", 1)
-}
-
-fn ask(node: SocketAddr, text: &str) -> Outcome {
-    let mut stream = TcpStream::connect(node).expect("the node listens");
-    stream.write_all(closing(text).as_bytes()).expect("the node reads");
-    read_outcome(&mut stream, Instant::now())
-}
-
 /// Has several clients ask at the same time.
 fn ask_together(node: &Node, class: &str, wait: Duration) -> Vec<Outcome> {
     let address = node.address;
