An answer that has begun ends by its client's time unless its server goes on

Callers saw an answer that began and then neither went on nor ended: 5 s after its last byte, renewed by each byte.

Only the wait for the server counts, not a client that reads late. After a stop a process's timers run before it has looked for events, so an answer is ended only after a second look.

--- a/crates/node/src/backend/http1/answer.rs
+++ b/crates/node/src/backend/http1/answer.rs
@@ -5,7 +5,7 @@
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use glenwood_core::{AttemptId, AttemptResult};
@@ -16,7 +16,6 @@
 use hyper::client::conn::http1::Connection;
 use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, StatusCode, Version};
-use tokio::time::Sleep;
 
 use super::forwarding::Buffering;
 use super::pool::Link;
@@ -26,8 +25,6 @@
 use crate::headers::end_to_end;
 use crate::sock::{Io, Pending, TrackedSocket};
 
-/// How long a server may pause within a streamed answer. An answer that makes progress is never cut off.
-const STALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Set to `1` by a server that turned the request away without processing it.
 const TURNED_AWAY: HeaderName = HeaderName::from_static("x-turned-away");
 /// The id of the request that an answer belongs to, if the server sends it.
@@ -151,7 +148,6 @@
                     server,
                     attempt,
                     servers: servers.clone(),
-                    stall_timer: Box::pin(tokio::time::sleep(STALL_TIMEOUT)),
                 };
                 AttemptResult::Streaming(Reply {
                     headers: self.headers,
@@ -202,7 +198,8 @@
 }
 
 /// An answer body too long to buffer, read as it is written to the client. It keeps the connection and the
-/// attempt's slot at the server until it ends.
+/// attempt's slot at the server until it ends or is dropped; whoever reads it bounds how long its server may
+/// pause.
 struct StreamedBody {
     buffered: Bytes,
     rest: Incoming,
@@ -215,8 +212,6 @@
     server: ServerId,
     attempt: AttemptId,
     servers: Rc<Servers>,
-    /// Expires when a silent server is to be given up.
-    stall_timer: Pin<Box<Sleep>>,
 }
 
 impl StreamedBody {
@@ -226,7 +221,6 @@
         if self.passed_bytes > MAX_BODY_BYTES {
             return Err(Truncated::TooLong);
         }
-        self.stall_timer.as_mut().reset((Instant::now() + STALL_TIMEOUT).into());
         if self.framing == Framing::Length(self.passed_bytes as u64) {
             self.end();
         }
@@ -279,9 +273,6 @@
                     self.end();
                     return Poll::Ready(None);
                 }
-                Poll::Pending if self.stall_timer.as_mut().poll(cx).is_ready() => {
-                    return Poll::Ready(Some(Err(Truncated::Stalled)))
-                }
                 Poll::Pending => return Poll::Pending,
             }
         }
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -83,7 +83,7 @@
 pub enum Truncated {
     /// Its connection ended, or sent what is no body.
     Disconnected,
-    /// Its sender paused for too long.
+    /// Its sender paused for too long, or was too slow.
     Stalled,
     /// It exceeds its declared length or [`MAX_BODY_BYTES`].
     TooLong,
@@ -93,7 +93,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str(match self {
             Self::Disconnected => "the body ended early",
-            Self::Stalled => "the body stalled",
+            Self::Stalled => "the body stalled or came too slowly",
             Self::TooLong => "the body is too long",
         })
     }
--- a/crates/node/src/front/answer_body.rs
+++ b/crates/node/src/front/answer_body.rs
@@ -1,52 +1,130 @@
 //! The body of an answer that is being written to an HTTP client.
 
+use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use glenwood_core::Token;
 use glenwood_operation::figures::{End, Ticket};
 use hyper::body::{Body, Frame, SizeHint};
+use tokio::time::{sleep_until, Sleep};
 
+use super::answer_limit::Pace;
+use crate::blocks::UploadProgress;
 use crate::call::{Content, Truncated};
 use crate::hub::{Hub, TruncatedAnswer};
 use crate::sock::TrackedSocket;
 
-/// The progress of an answer that is forwarded while it arrives.
+/// How long events that have come meanwhile are waited for before an answer is ended: after a process was
+/// stopped, its timers run before it has looked for events.
+const RECHECK_DELAY: Duration = Duration::from_millis(1);
+
+/// What a client allows for its answer.
+pub enum ClientTime {
+    /// Its request is complete, and its time is up then.
+    Until(Instant),
+    /// Its request is still being forwarded; its time counts from the last byte.
+    AfterUpload {
+        /// The progress of the request.
+        upload: Rc<UploadProgress>,
+        /// How long it waits.
+        wait: Duration,
+    },
+}
+
+impl ClientTime {
+    /// When the time is up; `None` while the client still sends.
+    fn due(&self) -> Option<Instant> {
+        match self {
+            Self::Until(due) => Some(*due),
+            Self::AfterUpload { upload, wait } => upload.last_byte_since().map(|since| since + *wait),
+        }
+    }
+}
+
+/// An answer that is forwarded while it arrives.
 pub struct Forwarded {
-    hub: Rc<Hub>,
+    /// The node's hub.
+    pub hub: Rc<Hub>,
     /// The client's connection.
-    sock: Rc<TrackedSocket>,
+    pub sock: Rc<TrackedSocket>,
     /// The client's id of its request.
-    id: Option<Token>,
+    pub id: Token,
     /// The statistics ticket of the request; ended with the last byte.
-    ticket: Option<Ticket>,
+    pub ticket: Option<Ticket>,
+    /// What the client allows.
+    pub client_time: ClientTime,
+}
+
+/// The progress of an answer that is forwarded while it arrives.
+struct Forwarding {
+    answer: Forwarded,
     began: Instant,
     /// How many bytes were passed on so far.
     bytes: usize,
+    pace: Pace,
+    /// Expires when the answer may have to be ended, and when it is ended if nothing has come.
+    timer: Option<Pin<Box<Sleep>>>,
+    recheck_at: Option<Instant>,
     /// Why the answer ends before it is whole.
     truncated: Option<Truncated>,
 }
 
-impl Forwarded {
-    /// Begins with an answer of which nothing was passed on.
-    pub fn new(hub: Rc<Hub>, sock: Rc<TrackedSocket>, id: Option<Token>, ticket: Option<Ticket>) -> Self {
-        Self { hub, sock, id, ticket, began: Instant::now(), bytes: 0, truncated: None }
+impl Forwarding {
+    fn new(answer: Forwarded, has_declared_length: bool) -> Self {
+        Self {
+            answer,
+            began: Instant::now(),
+            bytes: 0,
+            pace: Pace::new(has_declared_length),
+            timer: None,
+            recheck_at: None,
+            truncated: None,
+        }
+    }
+
+    /// Records a part of the body.
+    fn pass_on(&mut self, bytes: usize) {
+        self.bytes += bytes;
+        self.pace.receive(Instant::now(), bytes, self.answer.client_time.due());
+        self.recheck_at = None;
+    }
+
+    /// Ready if the answer is to be ended because its server no longer gives.
+    fn poll_overdue(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let now = Instant::now();
+        self.pace.wait(now);
+        let Some(ends_at) = self.pace.ends_at(self.answer.client_time.due()) else { return Poll::Pending };
+        if ends_at > now {
+            self.recheck_at = None;
+        }
+        let wake_at = match self.recheck_at {
+            _ if ends_at > now => ends_at,
+            None => *self.recheck_at.insert(now + RECHECK_DELAY),
+            Some(recheck_at) if recheck_at > now => recheck_at,
+            Some(_) => return Poll::Ready(()),
+        };
+        let timer = self.timer.get_or_insert_with(|| Box::pin(sleep_until(wake_at.into())));
+        if timer.deadline() != wake_at.into() {
+            timer.as_mut().reset(wake_at.into());
+        }
+        timer.as_mut().poll(cx)
     }
 
     fn end(&mut self, end: End) {
-        self.ticket.take().into_iter().for_each(|ticket| ticket.end(end));
+        self.answer.ticket.take().into_iter().for_each(|ticket| ticket.end(end));
     }
 
     /// Ends the answer before it is whole.
     fn truncate(&mut self, reason: Truncated) {
         self.truncated = Some(reason);
-        self.sock.await_flush();
+        self.answer.sock.await_flush();
         self.end(End::Errored);
-        self.hub.report_truncated_answer(&TruncatedAnswer {
-            id: self.id.as_ref().map_or("", Token::as_str),
+        self.answer.hub.report_truncated_answer(&TruncatedAnswer {
+            id: self.answer.id.as_str(),
             bytes: self.bytes,
             elapsed: self.began.elapsed(),
             reason,
@@ -56,7 +134,7 @@
     /// Ready with the error that ends the connection, once everything before it was written. hyper drops what
     /// it has buffered, even the head, when a body fails.
     fn poll_truncated(&self, cx: &mut Context<'_>, reason: Truncated) -> Poll<Truncated> {
-        self.sock.poll_flushed(cx).map(|()| reason)
+        self.answer.sock.poll_flushed(cx).map(|()| reason)
     }
 }
 
@@ -65,13 +143,13 @@
 pub struct AnswerBody {
     content: Content,
     /// Set if the answer is forwarded while it arrives.
-    forwarded: Option<Forwarded>,
+    forwarding: Option<Forwarding>,
 }
 
 impl AnswerBody {
     /// Creates a body.
     pub fn new(content: Content) -> Self {
-        Self { content, forwarded: None }
+        Self { content, forwarding: None }
     }
 
     /// Returns whether more of the body is to come from its server.
@@ -79,9 +157,10 @@
         matches!(self.content, Content::Streamed(_))
     }
 
-    /// Follows the progress of a body that is forwarded while it arrives.
-    pub fn forward(&mut self, forwarded: Forwarded) {
-        self.forwarded = Some(forwarded);
+    /// Has a body that is forwarded while it arrives end in time.
+    pub fn forward(&mut self, answer: Forwarded) {
+        let has_declared_length = self.content.size_hint().exact().is_some();
+        self.forwarding = Some(Forwarding::new(answer, has_declared_length));
     }
 }
 
@@ -94,28 +173,38 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         let this = self.get_mut();
-        let Some(forwarded) = &mut this.forwarded else { return Pin::new(&mut this.content).poll_frame(cx) };
-        if forwarded.truncated.is_none() {
-            match ready!(Pin::new(&mut this.content).poll_frame(cx)) {
-                Some(Err(reason)) => forwarded.truncate(reason),
-                frame => {
+        let Some(forwarding) = &mut this.forwarding else {
+            return Pin::new(&mut this.content).poll_frame(cx);
+        };
+        if forwarding.truncated.is_none() {
+            let reason = match Pin::new(&mut this.content).poll_frame(cx) {
+                Poll::Ready(Some(Err(reason))) => reason,
+                Poll::Ready(frame) => {
                     let data = frame.as_ref().and_then(|frame| frame.as_ref().ok()?.data_ref());
-                    forwarded.bytes += data.map_or(0, Bytes::len);
+                    forwarding.pass_on(data.map_or(0, Bytes::len));
                     if this.content.is_end_stream() {
-                        forwarded.end(End::Answered);
+                        forwarding.end(End::Answered);
                     }
                     return Poll::Ready(frame);
                 }
-            }
+                Poll::Pending => {
+                    ready!(forwarding.poll_overdue(cx));
+                    Truncated::Stalled
+                }
+            };
+            forwarding.truncate(reason);
+            // The server learns at once that nobody waits.
+            this.content = Content::default();
         }
-        match forwarded.truncated {
-            Some(reason) => forwarded.poll_truncated(cx, reason).map(|reason| Some(Err(reason))),
+        match forwarding.truncated {
+            Some(reason) => forwarding.poll_truncated(cx, reason).map(|reason| Some(Err(reason))),
             None => Poll::Pending,
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        self.content.is_end_stream()
+        let is_truncated = self.forwarding.as_ref().is_some_and(|forwarding| forwarding.truncated.is_some());
+        !is_truncated && self.content.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -22,7 +22,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use super::answer_body::{AnswerBody, Forwarded};
+use super::answer_body::{AnswerBody, ClientTime, Forwarded};
 use super::table::{Client, Clients, Ending};
 use crate::blocks::{Blocks, BlocksBuilder, RemainingBody};
 use crate::call::{Call, Origin, Reply, KEY, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, ORG, REMAINING, TXN};
@@ -152,10 +152,9 @@
     } else {
         let class = class_of(hub, request.uri());
         let read = read(hub, &sock, class.clone(), request).await;
-        let id = read.as_ref().ok().map(|(parsed, _)| parsed.call.id.clone());
         // Dropped with this future if the client disconnects before it has its answer.
-        let ticket = class.map(|class| hub.issue_ticket(&class));
-        let (mut answer, end) = match read {
+        let mut ticket = class.map(|class| hub.issue_ticket(&class));
+        let (answer, end) = match read {
             Ok((parsed, _)) if clients.must_refuse() => {
                 (refusal(hub.retry_after(parsed.call.class_and_tenant.0.number)), End::Deferred)
             }
@@ -169,19 +168,25 @@
                     Some(rest) => sock.stream_body(rest.upload.clone()),
                 }
                 is_fully_read = parsed.call.rest.is_none();
-                process(hub, &sock, parsed, arrived, remaining).await
+                let id = parsed.call.id.clone();
+                let client_time = match &parsed.call.rest {
+                    None => ClientTime::Until(arrived + remaining),
+                    Some(rest) => ClientTime::AfterUpload { upload: rest.upload.clone(), wait: remaining },
+                };
+                let (mut answer, end) = process(hub, &sock, parsed, arrived, remaining).await;
+                if answer.body().is_streamed() {
+                    // A streamed answer ends the ticket with its last byte.
+                    let (hub, sock, ticket) = (hub.clone(), sock.clone(), ticket.take());
+                    answer.body_mut().forward(Forwarded { hub, sock, id, ticket, client_time });
+                }
+                (answer, end)
             }
             Err(error) => {
                 is_fully_read = !error.must_close;
                 (error.answer(), End::Errored)
             }
         };
-        if answer.body().is_streamed() {
-            // A streamed answer ends the ticket with its last byte.
-            answer.body_mut().forward(Forwarded::new(hub.clone(), sock.clone(), id, ticket));
-        } else {
-            ticket.into_iter().for_each(|ticket| ticket.end(end));
-        }
+        ticket.into_iter().for_each(|ticket| ticket.end(end));
         answer
     };
     if !is_fully_read {
