Requests behind an answer of undeclared length are answered on their connection

Callers that sent several requests at once got no answer to those behind one whose answer was passed on in parts: it said Connection: close, and the connection ended with them read.

Cause: respond() closed behind each answer without a declared length, as its end on the connection was not known to TrackedSocket. Towards an HTTP/1.1 client such an answer is chunked, so its end is known: hyper has flushed its buffer after the body's last part was handed over. The connection is kept then; an HTTP/1.0 client, which has no chunks, is closed as before.

--- a/crates/node/src/front/answer_body.rs
+++ b/crates/node/src/front/answer_body.rs
@@ -184,6 +184,7 @@
                     forwarding.pass_on(data.map_or(0, Bytes::len));
                     if this.content.is_end_stream() {
                         forwarding.end(End::Answered);
+                        forwarding.answer.sock.hand_over_answer();
                     }
                     return Poll::Ready(frame);
                 }
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -18,7 +18,7 @@
 };
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, Version};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -99,6 +99,17 @@
         }
     }
 
+    /// Returns whether a connection is better closed after the answer that is about to be written.
+    fn need_not_keep(&self, sock: &TrackedSocket, is_ready_check: bool) -> bool {
+        let is_first = sock.answer_count() == 0;
+        // While the node stops, connections that only poll /ready must not displace those that can be served.
+        let is_check_while_stopping = is_ready_check && self.hub.stopping.get().is_some();
+        self.hub.closing.get()
+            || self.hub.handed_over.get()
+            || is_check_while_stopping
+            || (is_first && self.clients.has_many_idle())
+    }
+
     /// Runs a connection until hyper is done with it or it is to be dropped at once. A client that has closed its connection no longer waits for its answer; hyper reads at most
     /// one request ahead and may miss the close, so the socket is watched here too.
     async fn drive(&self, conn: impl Future<Output = hyper::Result<()>>, client: &Client) -> Driven {
@@ -142,7 +153,7 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let (hub, clients) = (&front.hub, &front.clients);
-    let is_head = *request.method() == Method::HEAD;
+    let (is_head, version) = (*request.method() == Method::HEAD, request.version());
     let length = declared_body_length(request.headers());
     let mut is_fully_read = true;
     let is_ready_check = request.uri().path() == "/ready";
@@ -192,23 +203,14 @@
     if !is_fully_read {
         sock.set_answered_unread();
     }
-    let is_first = sock.answer_count() == 0;
-    // While the node stops, connections that only poll /ready must not displace those that can be served.
-    let is_check_while_stopping = is_ready_check && hub.stopping.get().is_some();
-    // An answer without a declared length is not watched for its end, so its connection is not reused.
-    let has_no_length = body_length(&answer).is_none();
-    if hub.closing.get()
-        || hub.handed_over.get()
-        || is_check_while_stopping
-        || has_no_length
-        || !is_fully_read
-        || (is_first && clients.has_many_idle())
-    {
-        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    }
     if sock.phase().0 == Phase::Reading {
         sock.detect_pipelined(length);
     }
+    // HTTP/1.0 has no chunks: the end of the connection is the end of such an answer.
+    let ends_with_connection = version == Version::HTTP_10 && body_length(&answer).is_none();
+    if ends_with_connection || !is_fully_read || front.need_not_keep(&sock, is_ready_check) {
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     sock.begin_message(if is_head { 0 } else { body_length(&answer).unwrap_or(usize::MAX) });
     sock.enter_phase(Phase::Answering);
     answer
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -246,6 +246,8 @@
     /// waits for that.
     is_flushed: Cell<bool>,
     flush_waker: Cell<Option<Waker>>,
+    /// Whether all of an answer of undeclared length has been handed to hyper.
+    is_answer_handed_over: Cell<bool>,
 }
 
 impl TrackedSocket {
@@ -293,6 +295,7 @@
             answered_unread: Cell::new(false),
             is_flushed: Cell::new(true),
             flush_waker: Cell::default(),
+            is_answer_handed_over: Cell::new(false),
         }))
     }
 
@@ -306,6 +309,7 @@
         *self.outgoing.borrow_mut() = Progress { body_bytes, ..Progress::default() };
         *self.answer.borrow_mut() = ReceivedAnswer::default();
         self.on_written.take();
+        self.is_answer_handed_over.set(false);
     }
 
     /// Starts tracking a message with a chunked body that is about to be written.
@@ -524,8 +528,17 @@
         Poll::Pending
     }
 
+    /// The last part of an answer has been handed to hyper. One of undeclared length is written once hyper has
+    /// nothing left to write.
+    pub fn hand_over_answer(&self) {
+        self.is_answer_handed_over.set(true);
+    }
+
     /// Records that hyper has nothing left to write.
     fn record_flush(&self) {
+        if self.is_answer_handed_over.take() && self.phase.get() == Phase::Answering {
+            self.finish_answer();
+        }
         if !self.is_flushed.replace(true) {
             self.flush_waker.take().into_iter().for_each(Waker::wake);
         }
@@ -696,13 +709,17 @@
             }
         }
         if self.phase.get() == Phase::Answering && self.is_written() {
-            // Bytes that arrived early belong to the next request; a connection with a partial request is not
-            // idle.
-            if self.pipelined.take() {
-                self.begin_request(true);
-            } else {
-                self.enter_phase(Phase::Idle);
-            }
+            self.finish_answer();
+        }
+    }
+
+    /// The answer has been written. Bytes that arrived early belong to the next request; a connection with a
+    /// partial request is not idle.
+    fn finish_answer(&self) {
+        if self.pipelined.take() {
+            self.begin_request(true);
+        } else {
+            self.enter_phase(Phase::Idle);
         }
     }
 }
