A connection is not closed behind an answer while requests read behind it are owed theirs

Callers that sent several requests at once got an answer to the first alone: it said Connection: close, and those that the node had read behind it were dropped with the connection. On a new connection while many others are idle (one in eight of the limit), and on any from 1.4 s before SIGKILL may come, or after a hand-over.

Cause: respond() chose to close without asking whether anything had been read behind the request (TrackedSocket knows by detect_pipelined). The choice is Front::need_not_keep now, and waits until nothing is behind; where that can't be told, the connection is kept and ends by its time-outs.

--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -208,7 +208,9 @@
     }
     // HTTP/1.0 has no chunks: the end of the connection is the end of such an answer.
     let ends_with_connection = version == Version::HTTP_10 && body_length(&answer).is_none();
-    if ends_with_connection || !is_fully_read || front.need_not_keep(&sock, is_ready_check) {
+    let must_close = ends_with_connection || !is_fully_read;
+    // A request that has been read behind this one is owed its answer on this connection.
+    if must_close || (!sock.is_pipelined() && front.need_not_keep(&sock, is_ready_check)) {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     sock.begin_message(if is_head { 0 } else { body_length(&answer).unwrap_or(usize::MAX) });
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -464,6 +464,11 @@
         });
     }
 
+    /// Returns whether bytes of a next request have been read, as far as can be told.
+    pub fn is_pipelined(&self) -> bool {
+        self.pipelined.get()
+    }
+
     /// Returns whether there is nothing to read and the peer has not closed.
     pub fn is_quiet(&self) -> bool {
         self.pending() == Pending::Nothing
--- a/crates/node/tests/broken_answers.rs
+++ b/crates/node/tests/broken_answers.rs
@@ -490,3 +490,48 @@
         }
     }
 }
+
+/// Sends three requests at once on a connection; returns the statuses of their answers, as far as they come.
+fn ask_three(client: &mut Client, during_first: impl FnOnce()) -> Vec<Option<u16>> {
+    let ids = ["first", "second", "third"];
+    let texts = ids.map(|id| request("slip", id, PATIENT_WAIT.as_millis() as u64));
+    client.send(&texts.concat());
+    during_first();
+    ids.iter().map(|_| client.receive().map(|answer| answer.status())).collect()
+}
+
+/// Guards against closing a connection behind an answer because the node stops, while requests that were read
+/// behind it have no answer.
+#[test]
+fn requests_sent_behind_an_answer_are_answered_while_the_node_stops() {
+    let peer = Peer::new(|message| match message.header("x-txn") {
+        // By then the node closes its connections, 1.4 s before SIGKILL may come.
+        Some("first") => Reply::After(ms(2_700), answer(200, "", "late")),
+        _ => Reply::Now(answer(200, "", "short")),
+    });
+    let (mut node, _registry) = start_node(&[peer.address]);
+    let mut client = Client::to(&node);
+    let statuses = ask_three(&mut client, || {
+        peers::until("the first request is at its server", || !peer.seen().is_empty());
+        node.terminate();
+    });
+    assert!(statuses.iter().all(Option::is_some), "{statuses:?}");
+    assert_eq!(node.exit_code(), Some(0));
+}
+
+/// Guards against the same on a new connection that is not to be kept, as many others are idle.
+#[test]
+fn requests_sent_behind_the_first_answer_are_answered_while_many_connections_are_idle() {
+    let peer = Peer::healthy("served");
+    let (node, _registry) = start_node(&[peer.address]);
+    let mut idle = Vec::new();
+    peers::until("a new connection is not kept", || {
+        let mut client = Client::to(&node);
+        let received = client.ask(&request("look", &format!("i{}", idle.len()), 9_000));
+        let is_kept = received.header("connection").is_none();
+        idle.push(client);
+        !is_kept
+    });
+    let statuses = ask_three(&mut Client::to(&node), || {});
+    assert_eq!(statuses, [Some(200); 3]);
+}
