--- a/crates/node/tests/broken_answers.rs
+++ b/crates/node/tests/broken_answers.rs
@@ -166,14 +166,14 @@
         let mut write = |bytes: &[u8]| stream.write_all(bytes).expect("the connection is open");
         match self.moment {
             Moment::AtOnce => {
-                node.suspend();
+                node.suspend_and_wait();
                 write(&[self.length.head(), self.length.part(10)].concat());
                 self.ending.apply(stream);
             }
             Moment::WhenDue => {
                 write(&[self.length.head(), self.length.part(30_000)].concat());
                 std::thread::sleep(Duration::from_millis(700));
-                node.suspend();
+                node.suspend_and_wait();
                 write(&self.length.part(10));
                 self.ending.apply(stream);
                 std::thread::sleep(Duration::from_millis(400));
@@ -431,7 +431,7 @@
         // Again and again, from when the answer is forwarded.
         std::thread::sleep((CLIENT_WAIT + ms(50)).saturating_sub(received.elapsed()));
         while !client.is_finished() {
-            node.suspend();
+            node.suspend_and_wait();
             std::thread::sleep(ms(held_ms));
             node.resume();
             std::thread::sleep(ms(30));
--- a/crates/node/tests/peers/mod.rs
+++ b/crates/node/tests/peers/mod.rs
@@ -575,10 +575,15 @@
         self.signal("-HUP");
     }
 
-    /// Stops the process (SIGSTOP) until [`Node::resume`], and waits until it stands.
+    /// Stops the process (SIGSTOP) until [`Node::resume`].
     pub fn suspend(&self) {
         self.signal("-STOP");
-        until("the process stands", || self.is_stopped());
+    }
+
+    /// The same; returns once all of its threads are stopped.
+    pub fn suspend_and_wait(&self) {
+        self.suspend();
+        until("the process is stopped", || self.is_stopped());
     }
 
     /// Whether all threads of the process are stopped.
