An answer to an HTTP/1.0 client that breaks off ends with a reset

An HTTP/1.0 client has no chunks: where no length is known, the end of the connection is the end of its answer, so one that broke off passed for a whole one. Found by looking where else an end says more than it should. The connection is reset then, and not closed in order; what the client has not read by then may be lost, but it can tell.

The test saw Ok(0), the regular end, before and ConnectionReset now; the other tests of broken_answers pass.

--- a/crates/node/src/front/answer_body.rs
+++ b/crates/node/src/front/answer_body.rs
@@ -57,6 +57,8 @@
     pub ticket: Option<Ticket>,
     /// What the client allows.
     pub client_time: ClientTime,
+    /// Whether the end of the answer is the end of the connection.
+    pub ends_with_connection: bool,
 }
 
 /// The progress of an answer that is forwarded while it arrives.
@@ -121,6 +123,9 @@
     /// Ends the answer before it is whole.
     fn truncate(&mut self, reason: Truncated) {
         self.truncated = Some(reason);
+        if self.answer.ends_with_connection {
+            self.answer.sock.reset_on_drop();
+        }
         self.answer.sock.await_flush();
         self.end(End::Errored);
         self.answer.hub.report_truncated_answer(&TruncatedAnswer {
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -60,7 +60,7 @@
             .serve_connection(Io(client.sock.clone()), service);
         let ended = self.drive(conn, &client).await;
         self.report_if_unanswered(&client, &ended);
-        if matches!(ended, Driven::Finished(_)) {
+        if matches!(ended, Driven::Finished(_)) && !client.sock.must_reset() {
             let _ = timeout(LINGER_TIMEOUT, self.linger(&client)).await;
         }
     }
@@ -187,8 +187,15 @@
                 let (mut answer, end) = process(hub, &sock, parsed, arrived, remaining).await;
                 if answer.body().is_streamed() {
                     // A streamed answer ends the ticket with its last byte.
-                    let (hub, sock, ticket) = (hub.clone(), sock.clone(), ticket.take());
-                    answer.body_mut().forward(Forwarded { hub, sock, id, ticket, client_time });
+                    let ends_with_connection = ends_with_connection(version, &answer);
+                    answer.body_mut().forward(Forwarded {
+                        hub: hub.clone(),
+                        sock: sock.clone(),
+                        id,
+                        ticket: ticket.take(),
+                        client_time,
+                        ends_with_connection,
+                    });
                 }
                 (answer, end)
             }
@@ -206,9 +213,7 @@
     if sock.phase().0 == Phase::Reading {
         sock.detect_pipelined(length);
     }
-    // HTTP/1.0 has no chunks: the end of the connection is the end of such an answer.
-    let ends_with_connection = version == Version::HTTP_10 && body_length(&answer).is_none();
-    let must_close = ends_with_connection || !is_fully_read;
+    let must_close = ends_with_connection(version, &answer) || !is_fully_read;
     // A request that has been read behind this one is owed its answer on this connection.
     if must_close || (!sock.is_pipelined() && front.need_not_keep(&sock, is_ready_check)) {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -226,6 +231,11 @@
     headers.get(CONTENT_LENGTH).map_or(Some(0), |v| v.to_str().ok()?.trim().parse().ok())
 }
 
+/// Returns whether only the end of the connection ends an answer: HTTP/1.0 has no chunks.
+fn ends_with_connection(version: Version, answer: &Response<AnswerBody>) -> bool {
+    version == Version::HTTP_10 && body_length(answer).is_none()
+}
+
 fn body_length(answer: &Response<AnswerBody>) -> Option<usize> {
     answer.body().size_hint().exact().map(|length| length as usize)
 }
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -248,6 +248,8 @@
     flush_waker: Cell<Option<Waker>>,
     /// Whether all of an answer of undeclared length has been handed to hyper.
     is_answer_handed_over: Cell<bool>,
+    /// Whether the connection is to be reset, as its regular end would pass for the end of an answer.
+    must_reset: Cell<bool>,
 }
 
 impl TrackedSocket {
@@ -296,6 +298,7 @@
             is_flushed: Cell::new(true),
             flush_waker: Cell::default(),
             is_answer_handed_over: Cell::new(false),
+            must_reset: Cell::new(false),
         }))
     }
 
@@ -549,6 +552,17 @@
         }
     }
 
+    /// Has the connection reset when it is dropped.
+    pub fn reset_on_drop(&self) {
+        // Fails only if the socket is broken already.
+        self.must_reset.set(SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).is_ok());
+    }
+
+    /// Returns whether the connection is to be reset.
+    pub fn must_reset(&self) -> bool {
+        self.must_reset.get()
+    }
+
     /// Waits until the peer has closed or reset the connection. The kernel reports this even while earlier
     /// bytes are unread, which a reader would have to consume first.
     pub async fn wait_closed(&self) {
--- a/crates/node/tests/broken_answers.rs
+++ b/crates/node/tests/broken_answers.rs
@@ -261,6 +261,32 @@
     assert!(received[head..] == body(SENT), "another body");
 }
 
+/// Guards against an answer that breaks off and passes for a whole one, as the end of the connection is the
+/// regular end of an answer to an HTTP/1.0 client.
+#[test]
+fn an_http_1_0_client_can_tell_that_an_answer_broke_off() {
+    let server = ManualServer::start();
+    let (node, _registry) = start_node(&[server.address]);
+    let mut client = TcpStream::connect(node.address).expect("the node listens");
+    let text = request("slip", "t1", PATIENT_WAIT.as_millis() as u64).replacen("HTTP/1.1", "HTTP/1.0", 1);
+    client.write_all(text.as_bytes()).expect("the node reads");
+    let mut stream = server.next_request();
+    let length = Length::Undeclared(Form::Chunked);
+    stream.write_all(&[length.head(), length.part(100_000)].concat()).expect("the node reads");
+    client.set_read_timeout(Some(peers::WAIT_TIMEOUT)).expect("a socket");
+    let mut received = vec![0; 1 << 17];
+    assert!(client.read(&mut received).expect("the answer has begun") > 0);
+    Ending::Close.apply(stream);
+    let end = loop {
+        match client.read(&mut received) {
+            Ok(1..) => {}
+            end => break end,
+        }
+    };
+    let kind = end.as_ref().map_err(std::io::Error::kind);
+    assert_eq!(kind.err(), Some(std::io::ErrorKind::ConnectionReset), "{end:?}");
+}
+
 /// How long the clients of answers that stall wait.
 const CLIENT_WAIT: Duration = Duration::from_secs(1);
 /// How long a client goes on reading an answer that should have ended.
