Known failures: chunked requests that are sent together

TrackedSocket records the head of a request only where it began to arrive on an idle connection; a chunked one whose head it has not seen is refused as ambiguous, and the connection closed with what stands behind. The mend is to follow the requests of a connection from its bytes (lengths and chunks), which would also tell exactly what stands behind a request; not begun in this work.

--- a/crates/node/tests/broken_answers.rs
+++ b/crates/node/tests/broken_answers.rs
@@ -561,3 +561,18 @@
     let statuses = ask_three(&mut Client::to(&node), || {});
     assert_eq!(statuses, [Some(200); 3]);
 }
+
+/// Guards against refusing a sound chunked request because it was sent together with others, and against
+/// closing the connection with what stands behind it.
+#[test]
+fn chunked_requests_sent_together_are_all_answered() {
+    let peer = Peer::healthy("served");
+    let (node, _registry) = start_node(&[peer.address]);
+    let mut client = Client::to(&node);
+    let chunked = "Transfer-Encoding: chunked\r\n\r\n4\r\nwork\r\n0\r\n\r\n";
+    let text = |id| request("slip", id, 9_000).replace("Content-Length: 4\r\n\r\nwork", chunked);
+    let ids = ["first", "second", "third"];
+    client.send(&ids.map(text).concat());
+    let statuses = ids.map(|_| client.receive().map(|answer| answer.status()));
+    assert_eq!(statuses, [Some(200); 3]);
+}
