Chunked requests that are sent together with others are read, and their ends are known

Callers that sent several chunked requests at once got 200, then 400, then no answer, each time.

Cause: whether a chunked request also gives a length has to be read from its bytes, as hyper removes the one beside the other. TrackedSocket copied the head only where it began to arrive on an idle connection; of a request that came with others it knew nothing, and took it for ambiguous. Where a request ends was guessed, too.

Change: requests.rs follows all requests of a connection from their bytes (lengths, chunks, trailers), keeps what each head says of its length, and tells exactly whether anything stands behind the one that is served. The copies of heads (up to 32 kB) are gone. What has two framings, or a length that can't be read, is refused as before.

--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -154,7 +154,6 @@
 ) -> Response<AnswerBody> {
     let (hub, clients) = (&front.hub, &front.clients);
     let (is_head, version) = (*request.method() == Method::HEAD, request.version());
-    let length = declared_body_length(request.headers());
     let mut is_fully_read = true;
     let is_ready_check = request.uri().path() == "/ready";
     let mut answer = if is_ready_check {
@@ -170,7 +169,7 @@
                 (refusal(hub.retry_after(parsed.call.class_and_tenant.0.number)), End::Deferred)
             }
             Ok((parsed, remaining)) => {
-                sock.detect_pipelined(length);
+                sock.detect_pipelined();
                 // The client's remaining time counts from the last byte of the request, which may have been
                 // waiting for the end of the request before it.
                 let arrived = sock.arrived_at();
@@ -211,7 +210,7 @@
         sock.set_answered_unread();
     }
     if sock.phase().0 == Phase::Reading {
-        sock.detect_pipelined(length);
+        sock.detect_pipelined();
     }
     let must_close = ends_with_connection(version, &answer) || !is_fully_read;
     // A request that has been read behind this one is owed its answer on this connection.
@@ -223,14 +222,6 @@
     answer
 }
 
-/// The declared length of a request's body as sent; `None` if it is chunked or the length can't be parsed.
-fn declared_body_length(headers: &HeaderMap) -> Option<usize> {
-    if headers.contains_key(TRANSFER_ENCODING) {
-        return None;
-    }
-    headers.get(CONTENT_LENGTH).map_or(Some(0), |v| v.to_str().ok()?.trim().parse().ok())
-}
-
 /// Returns whether only the end of the connection ends an answer: HTTP/1.0 has no chunks.
 fn ends_with_connection(version: Version, answer: &Response<AnswerBody>) -> bool {
     version == Version::HTTP_10 && body_length(answer).is_none()
@@ -382,7 +373,8 @@
     match (codings.next(), codings.next()) {
         (None, _) => headers.get_all(CONTENT_LENGTH).iter().count() <= 1,
         (Some(coding), None) => {
-            chunked(coding) && !headers.contains_key(CONTENT_LENGTH) && sock.head_lacks("content-length")
+            let is_sole = sock.request_head().is_some_and(|head| head.has_coding && head.lengths == 0);
+            chunked(coding) && !headers.contains_key(CONTENT_LENGTH) && is_sole
         }
         _ => false,
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod members;
 pub mod operator;
 pub mod registrations;
+pub mod requests;
 pub mod runtime;
 pub mod sock;
 pub mod upgrade;
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpStream;
 
 use crate::blocks::UploadProgress;
+use crate::requests::{ReceivedRequests, RequestHead};
 
 /// The largest single read.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
@@ -27,8 +28,6 @@
 const BODY_GRACE: Duration = Duration::from_millis(2500);
 /// How many bytes per second a body must deliver: a quarter of what a slow peer sends.
 pub const MIN_BODY_BYTES_PER_S: f64 = 16_000.0;
-/// How much of a request is copied to inspect its head.
-const MAX_HEAD_COPY_BYTES: usize = 32 * 1024;
 
 /// The transfer progress of one HTTP message.
 #[derive(Default)]
@@ -70,18 +69,6 @@
     }
 }
 
-/// The end of a request's head. Like hyper's parser, skips blank lines before it.
-fn head_end(head: &[u8]) -> Option<usize> {
-    let mut end = head.iter().position(|b| !matches!(b, b'\r' | b'\n'))?;
-    for line in head[end..].split_inclusive(|b| *b == b'\n') {
-        end += line.len();
-        if line == b"\n" || line == b"\r\n" {
-            return Some(end);
-        }
-    }
-    None
-}
-
 /// Keeps the last five bytes of a stream.
 fn append_last_bytes(last_bytes: &mut [u8; 5], bytes: &[u8]) {
     let tail = &bytes[bytes.len().saturating_sub(5)..];
@@ -152,30 +139,6 @@
     }
 }
 
-/// A copy of the head of a request.
-#[derive(Default)]
-struct RequestHead {
-    bytes: Vec<u8>,
-    /// Where the head ends, once all of it has been copied.
-    end: Option<usize>,
-}
-
-impl RequestHead {
-    /// Copies received bytes up to the end of the head.
-    fn receive(&mut self, received: &[u8]) {
-        if self.end.is_some() {
-            return;
-        }
-        let room = MAX_HEAD_COPY_BYTES.saturating_sub(self.bytes.len());
-        self.bytes.extend_from_slice(&received[..received.len().min(room)]);
-        self.end = head_end(&self.bytes);
-        if let Some(end) = self.end {
-            self.bytes.truncate(end);
-            self.bytes.shrink_to_fit();
-        }
-    }
-}
-
 /// What a client's connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -221,7 +184,7 @@
     answer_count: Cell<usize>,
     /// Whether bytes of a next request arrived while one was being served.
     pipelined: Cell<bool>,
-    /// The bytes received since the current request began, when the last of them arrived, and the last five.
+    /// The bytes received since the current request began, and when the last of them arrived.
     request_bytes: Cell<usize>,
     last_read_at: Cell<Instant>,
     /// Since when the bytes read last may have been waiting: when bytes were first read after the socket was
@@ -229,15 +192,14 @@
     readable_since: Cell<Instant>,
     /// Whether the socket was found empty after the last read.
     is_empty: Cell<bool>,
-    last_bytes: Cell<[u8; 5]>,
     /// When the body of the current request began to arrive, and how many bytes preceded it.
     body_start: Cell<Option<(Instant, usize)>>,
     /// When the call began by which the kernel last accepted bytes to write.
     last_write_at: Cell<Instant>,
     /// The progress of the current request's body, if it is streamed.
     upload: RefCell<Option<Rc<UploadProgress>>>,
-    /// A copy of the head of the current request; `None` if it was not recorded.
-    request_head: RefCell<Option<RequestHead>>,
+    /// The requests that were received and not yet answered.
+    requests: RefCell<ReceivedRequests>,
     /// Whether a request is being processed whose answer is not available yet.
     answer_pending: Cell<bool>,
     /// Whether the last request was answered before all of it was read, so that more of it may arrive.
@@ -288,11 +250,10 @@
             last_read_at: Cell::new(now),
             readable_since: Cell::new(now),
             is_empty: Cell::new(true),
-            last_bytes: Cell::default(),
             body_start: Cell::new(None),
             last_write_at: Cell::new(now),
             upload: RefCell::default(),
-            request_head: RefCell::default(),
+            requests: RefCell::default(),
             answer_pending: Cell::new(false),
             answered_unread: Cell::new(false),
             is_flushed: Cell::new(true),
@@ -375,9 +336,6 @@
         if phase == Phase::Answering {
             self.answer_count.set(self.answer_count.get() + 1);
         }
-        if phase != Phase::Reading {
-            *self.request_head.borrow_mut() = None;
-        }
     }
 
     /// Returns whether the request being received is overdue. A head has a fixed deadline. A body may take
@@ -442,29 +400,14 @@
         self.answer_count.get()
     }
 
-    /// Returns whether the head of the current request as received is known to lack a header (named in lower
-    /// case). hyper removes a content length that follows a transfer coding, so the parsed headers can't
-    /// tell.
-    pub fn head_lacks(&self, name: &str) -> bool {
-        let head = self.request_head.borrow();
-        let Some(head) = head.as_ref().filter(|head| head.end.is_some()) else { return false };
-        head.bytes.split(|b| *b == b'\n').all(|line| {
-            let key = line.split(|b| *b == b':').next().unwrap_or_default();
-            !key.trim_ascii().eq_ignore_ascii_case(name.as_bytes())
-        })
+    /// The head of the request that is served, as received; `None` if it is not known.
+    pub fn request_head(&self) -> Option<RequestHead> {
+        self.requests.borrow().current()
     }
 
-    /// Determines whether bytes follow the current, complete request, whose body was `body` bytes long as
-    /// received (`None` if unknown). If that can't be determined, they are assumed to.
-    pub fn detect_pipelined(&self, body: Option<usize>) {
-        let end = self.request_head.borrow().as_ref().and_then(|head| head.end);
-        let expected = end.zip(body).map(|(head, body)| head + body);
-        // A chunked request ends with a blank line after its last chunk or its trailers. A complete request
-        // after it ends so too and is answered next; a partial one ends so only by chance.
-        self.pipelined.set(match body {
-            Some(_) => expected != Some(self.request_bytes.get()),
-            None => !self.last_bytes.get().ends_with(b"\r\n\r\n"),
-        });
+    /// Determines whether bytes follow the request that is served. If that can't be told, they are assumed to.
+    pub fn detect_pipelined(&self) {
+        self.pipelined.set(self.requests.borrow().has_next());
     }
 
     /// Returns whether bytes of a next request have been read, as far as can be told.
@@ -684,25 +627,18 @@
         match self.phase.get() {
             Phase::Idle => {
                 self.begin_request(self.has_received.replace(true));
-                *self.request_head.borrow_mut() = Some(RequestHead::default());
             }
             // The bytes taken for the start of the next request were not part of one, or its rest has now
             // arrived: restart its timeout, once.
             Phase::Reading if self.request_bytes.get() == 0 => {
                 self.begin_request(true);
-                *self.request_head.borrow_mut() = Some(RequestHead::default());
             }
             Phase::Reading => {}
             Phase::Busy | Phase::Answering => self.pipelined.set(true),
         }
         self.request_bytes.set(self.request_bytes.get() + bytes.len());
         self.last_read_at.set(now);
-        let mut last_bytes = self.last_bytes.get();
-        append_last_bytes(&mut last_bytes, bytes);
-        self.last_bytes.set(last_bytes);
-        if let Some(head) = &mut *self.request_head.borrow_mut() {
-            head.receive(bytes);
-        }
+        self.requests.borrow_mut().receive(bytes);
     }
 
     /// Starts tracking a request, the first on its connection or a later one.
@@ -735,6 +671,7 @@
     /// The answer has been written. Bytes that arrived early belong to the next request; a connection with a
     /// partial request is not idle.
     fn finish_answer(&self) {
+        self.requests.borrow_mut().finish_current();
         if self.pipelined.take() {
             self.begin_request(true);
         } else {
