--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -110,8 +110,9 @@
             || (is_first && self.clients.has_many_idle())
     }
 
-    /// Runs a connection until hyper is done with it or it is to be dropped at once. A client that has closed its connection no longer waits for its answer; hyper reads at most
-    /// one request ahead and may miss the close, so the socket is watched here too.
+    /// Runs a connection until hyper is done with it or it is to be dropped at once. A client that has closed
+    /// its connection no longer waits for its answer; hyper reads at most one request ahead and may miss the
+    /// close, so the socket is watched here too.
     async fn drive(&self, conn: impl Future<Output = hyper::Result<()>>, client: &Client) -> Driven {
         let (mut conn, mut arrivals) = (pin!(conn), pin!(client.sock.watch_arrivals()));
         loop {
