Tests of fleets: an instance's port can't be taken while it is down

Its log: listen: 127.0.0.1:43233: Address already in use. The rig chooses ports that the kernel also gives to connections and listeners of other tests; a release that hangs holds no port, so for 1.5 s anybody may get it. No fault of the node, and older than this work.

Instances have a loopback address of their process's own now; no check changed. Connections to it have their own end at 127.0.0.1 (looked at), so only who chooses the address can take a port there. All seven tests of fleet.rs pass.

--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -2,7 +2,7 @@
 //! send requests meanwhile.
 
 use std::collections::BTreeSet;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -33,6 +33,13 @@
     _discovery: Discovery,
 }
 
+/// The loopback address of this process's instances. No other socket uses it, so that an instance finds its
+/// port free again after a restart: connections have their own ends at 127.0.0.1.
+fn instance_ip() -> Ipv4Addr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 3, high, low.max(1))
+}
+
 /// Chooses free addresses that no other machine of this process has. Instances share their ports with their
 /// successors (`SO_REUSEPORT`), so two machines with one port would get each other's connections unnoticed.
 fn choose_addresses(count: usize) -> Vec<SocketAddr> {
@@ -41,7 +48,7 @@
     // All listeners stay bound until every port is chosen, so that the ports differ.
     let (mut listeners, mut addresses) = (Vec::new(), Vec::new());
     while addresses.len() < count {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("cannot bind to a free port");
+        let listener = TcpListener::bind((instance_ip(), 0)).expect("cannot bind to a free port");
         let address = listener.local_addr().expect("a bound socket has an address");
         listeners.push(listener);
         if chosen.insert(address) {
