--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -411,6 +411,7 @@
         label = f"{self.name}-{self.starts}-{id(self) % 1000}"
         config = self.case.tmp / f"{label}.json"
         config.write_text(json.dumps(self.config), encoding="utf-8")
+        self.config_path = config  # read again at SIGHUP
         env = {"BALANCER_CONFIG": str(config), "TMPDIR": str(self.tmp)}
         if self.operator is not None:
             operator = self.case.tmp / f"{label}.toml"
