--- a/review/10/case.py
+++ b/review/10/case.py
@@ -25,7 +25,7 @@
 
     def round_of(name, count=30):
         for n in range(count):
-            ask(case, node.address, "GET", "/look", f"{name}-{n}", 3000)
+            ask(case, node.address, "POST", "/slip", f"{name}-{n}", 3000, b"one slip")
             time.sleep(0.02)
 
     round_of("before")
