--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -91,18 +91,6 @@
             time.sleep(0.02)
         raise CannotRun(f"not within {within} s: {what}")
 
-    def end_instances(self):
-        """Ends what agents of this case have started: their folders are in this case's temporary folder."""
-        mark = f"GLENWOOD_AGENT={self.tmp}".encode()
-        for folder in pathlib.Path("/proc").iterdir():
-            if not folder.name.isdigit():
-                continue
-            try:
-                if any(one.startswith(mark) for one in (folder / "environ").read_bytes().split(b"\0")):
-                    os.kill(int(folder.name), signal.SIGKILL)
-            except OSError:
-                continue
-
     def close(self):
         for child in self.children:
             if child.poll() is None:
@@ -116,7 +104,6 @@
                 child.wait(timeout=10)
             except subprocess.TimeoutExpired:
                 pass
-        self.end_instances()
         for child in self.children:
             if child.log_path.exists():
                 for line in self.log_of(child).splitlines()[:200]:
@@ -135,6 +122,14 @@
     watchdog = threading.Timer(110.0, lambda: (case.note("took too long"), case.close(), os._exit(2)))
     watchdog.daemon = True
     watchdog.start()
+
+    def told_to_end(*_):
+        case.note("told to end")
+        case.close()
+        os._exit(2)
+
+    signal.signal(signal.SIGTERM, told_to_end)
+    signal.signal(signal.SIGINT, told_to_end)
     code = 2
     try:
         play(case)
