--- a/crates/msgpack-rpc/src/client.rs
+++ b/crates/msgpack-rpc/src/client.rs
@@ -291,6 +291,6 @@
 
     /// Whether part of a reply has been received.
     pub fn has_partial_message(&self) -> bool {
-        self.frames.has_partial_message()
+        self.frames.partial_message().is_some()
     }
 }
--- a/crates/msgpack-rpc/src/frame.rs
+++ b/crates/msgpack-rpc/src/frame.rs
@@ -40,6 +40,15 @@
     TooLong(Bytes),
 }
 
+/// How much of an incomplete message has been received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PartialMessage {
+    /// Number of bytes.
+    pub bytes: usize,
+    /// Whether a binary value in it has begun: only bodies are binary.
+    pub has_begun_body: bool,
+}
+
 /// Why the stream cannot be decoded any further.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FrameError {
@@ -75,6 +84,8 @@
     /// The value of the length field as read so far.
     partial_length: u64,
     has_begun: bool,
+    /// Whether a binary value has begun.
+    has_begun_binary: bool,
 }
 
 /// The content that follows a marker byte.
@@ -150,6 +161,7 @@
                 self.length = (missing > 1).then_some((marker, missing - 1));
                 if self.length.is_none() {
                     let n = std::mem::take(&mut self.partial_length);
+                    self.has_begun_binary |= matches!(marker, Marker::Bin8 | Marker::Bin16 | Marker::Bin32);
                     match marker {
                         Marker::Array16 | Marker::Array32 => self.enter_level(n, depth)?,
                         Marker::Map16 | Marker::Map32 => self.enter_level(2 * n, depth)?,
@@ -230,9 +242,10 @@
         self.buffer.len()
     }
 
-    /// Whether part of a message has been received.
-    pub fn has_partial_message(&self) -> bool {
-        self.length > 0 || !self.buffer.is_empty()
+    /// The part of the current message that has been received; `None` between messages.
+    pub fn partial_message(&self) -> Option<PartialMessage> {
+        let bytes = self.length + self.buffer.len() - self.scanned;
+        (bytes > 0).then_some(PartialMessage { bytes, has_begun_body: self.scan.has_begun_binary })
     }
 
     /// Returns the next message, or `None` if more bytes are needed.
@@ -330,6 +343,25 @@
         assert!(max_buffered <= 150, "{max_buffered}");
     }
 
+    #[test]
+    fn a_partial_message_tells_its_length_and_whether_its_body_has_begun() {
+        let bounds = Bounds { longest: 8, skipped: 10_000, depth: 4 };
+        // A text and a body, the latter beyond the longest message that is kept; then the next message.
+        let message = [&[0x92, 0xa2, b'a', b'b', 0xc4, 20][..], &[0; 20]].concat();
+        let mut frames = Frames::new(bounds);
+        assert_eq!(frames.partial_message(), None);
+        for (n, byte) in message.iter().enumerate() {
+            frames.push(&[*byte]);
+            let is_complete = frames.poll().expect("bounded").is_some();
+            let partial = PartialMessage { bytes: n + 1, has_begun_body: n >= 5 };
+            assert_eq!(is_complete, n + 1 == message.len());
+            assert_eq!(frames.partial_message(), (!is_complete).then_some(partial));
+        }
+        frames.push(&message[..2]);
+        assert_eq!(frames.poll(), Ok(None));
+        assert_eq!(frames.partial_message(), Some(PartialMessage { bytes: 2, has_begun_body: false }));
+    }
+
     #[test]
     fn a_reserved_byte_ends_the_stream_after_the_preceding_message() {
         let mut frames = Frames::new(Bounds::default());
--- a/crates/msgpack-rpc/src/server.rs
+++ b/crates/msgpack-rpc/src/server.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Buf, BytesMut};
 
-use crate::frame::{Bounds, Frames};
+use crate::frame::{Bounds, Frames, PartialMessage};
 use crate::message::{self, Answer, Call, Code, DecodeError, ErrorReply, Message};
 
 /// Limits of one connection.
@@ -125,14 +125,15 @@
     }
 
     fn end(&mut self, reason: String) -> Event {
-        self.ending = true;
-        self.frames = Frames::new(self.limits.bounds);
+        self.finish();
         Event::Ending(reason)
     }
 
-    /// Stops reading: open calls are answered, then the connection ends.
+    /// Stops reading: open calls are answered, then the connection ends. What was received and not polled is
+    /// dropped.
     pub fn finish(&mut self) {
         self.ending = true;
+        self.frames = Frames::new(self.limits.bounds);
     }
 
     /// Answers a call; does nothing if the call is not open.
@@ -147,9 +148,10 @@
         self.open.len()
     }
 
-    /// Whether part of a message has been received.
-    pub fn has_partial_message(&self) -> bool {
-        self.frames.has_partial_message()
+    /// The part of a message that has been received; `None` between messages. Before [`Connection::poll`] has
+    /// returned `None`, it may be followed by more messages.
+    pub fn partial_message(&self) -> Option<PartialMessage> {
+        self.frames.partial_message()
     }
 
     /// Number of received bytes that are buffered.
--- a/crates/node/src/backend/http1/forwarding.rs
+++ b/crates/node/src/backend/http1/forwarding.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout_at;
 
 use super::time_limit::TimeLimit;
-use crate::sock::MIN_BODY_BYTES_PER_S;
+use crate::arrival::MIN_BODY_BYTES_PER_S;
 
 /// How long an answer is buffered: half of what its client accepts.
 const MAX_BUFFERING_TIME: Duration = Duration::from_secs(1);
--- a/crates/node/src/front/msgpack.rs
+++ b/crates/node/src/front/msgpack.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use glenwood_core::{Final, Incoming, Rejection, Token, MAX_CLIENT_WAIT};
+use glenwood_msgpack_rpc::frame::PartialMessage;
 use glenwood_msgpack_rpc::message::{Answer, Call as RpcCall, Code, ErrorReply};
 use glenwood_msgpack_rpc::server::{self, Connection, Event, Limits};
 use glenwood_operation::figures::End;
@@ -19,10 +20,11 @@
 
 use super::http1::LINGER_TIMEOUT;
 use super::table::{Client, Clients, Ending, ANSWER_STALL_TIMEOUT};
+use crate::arrival::MessageArrival;
 use crate::call::{Call, Content, Origin, Reply, MAX_BUFFERED_BODY_BYTES};
 use crate::hub::{self, metrics_outcome, Hub};
 use crate::log;
-use crate::sock::{Phase, TrackedSocket, REQUEST_TIMEOUT};
+use crate::sock::{Pending, Phase, TrackedSocket};
 
 /// The largest single read.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
@@ -63,6 +65,86 @@
     changed: Notify,
 }
 
+/// What the next step of a connection depends on.
+struct ConnState {
+    wants_bytes: bool,
+    has_open_calls: bool,
+    has_output: bool,
+    is_over: bool,
+    partial_message: Option<PartialMessage>,
+    phase: Phase,
+}
+
+impl ConnState {
+    /// `may_have_more` tells whether received messages may still be handled.
+    fn of(protocol: &Connection, may_have_more: bool) -> Self {
+        let (has_open_calls, has_output) = (protocol.open() > 0, !protocol.output().is_empty());
+        let partial_message = protocol.partial_message();
+        let phase = match partial_message {
+            _ if has_open_calls || has_output || may_have_more => Phase::Busy,
+            Some(_) => Phase::Reading,
+            None => Phase::Idle,
+        };
+        Self {
+            wants_bytes: protocol.wants_bytes(),
+            has_open_calls,
+            has_output,
+            is_over: protocol.is_over(),
+            partial_message,
+            phase,
+        }
+    }
+}
+
+/// The time limits of a connection.
+#[derive(Default)]
+struct TimeLimits {
+    /// The message that is being received, unless reading pauses.
+    message: Option<MessageArrival>,
+    /// Since when the client has not read its answers.
+    blocked_since: Option<Instant>,
+}
+
+impl TimeLimits {
+    /// Brings the limits up to date. `is_new_message` tells whether messages were handled since the last time,
+    /// so that the partial one is another.
+    fn update(&mut self, state: &ConnState, is_new_message: bool, has_written: bool) {
+        let now = Instant::now();
+        let known = self.message.take().filter(|_| !is_new_message);
+        self.message = state.partial_message.filter(|_| state.wants_bytes).map(|partial| match known {
+            Some(message) => message.advance(now, partial),
+            None => MessageArrival::begin(now, partial),
+        });
+        let is_blocked = state.has_output && !has_written;
+        self.blocked_since = is_blocked.then(|| self.blocked_since.unwrap_or(now));
+    }
+
+    /// When the next limit is reached. A message that takes too long ends the connection only behind the
+    /// answers that are owed on it.
+    fn due(&self, state: &ConnState) -> Option<Instant> {
+        let message = self.message.filter(|_| state.phase == Phase::Reading).map(|message| message.due());
+        let answers = self.blocked_since.map(|since| since + ANSWER_STALL_TIMEOUT);
+        message.into_iter().chain(answers).min()
+    }
+
+    fn are_answers_overdue(&self, now: Instant) -> bool {
+        self.blocked_since.is_some_and(|since| now >= since + ANSWER_STALL_TIMEOUT)
+    }
+
+    /// The message that has taken too long, if the connection may end for it.
+    fn overdue_message(&self, state: &ConnState, now: Instant) -> Option<MessageArrival> {
+        self.message.filter(|message| state.phase == Phase::Reading && now >= message.due())
+    }
+}
+
+fn log_slow_message(message: &MessageArrival, now: Instant) {
+    log::write_line(format!(
+        "msgpack: a client's connection is closed: {} bytes of a message came within {:.1} s",
+        message.bytes(),
+        (now - message.began()).as_secs_f64(),
+    ));
+}
+
 /// Cancels the open calls when the connection ends, and releases their memory.
 struct OpenCallsGuard {
     front: Rc<Front>,
@@ -107,58 +189,33 @@
             changed: Notify::new(),
         });
         let _open = OpenCallsGuard { front: self.clone(), conn: conn.clone() };
-        // Since when a message has been incomplete, and since when the client has not read its answers.
-        let (mut message_since, mut blocked_since): (Option<Instant>, Option<Instant>) = (None, None);
+        let mut limits = TimeLimits::default();
         loop {
             let (handled, may_have_more) = self.handle(&conn);
-            if handled > 0 {
-                // The timeout applies to each message, not to an uninterrupted sequence of them.
-                message_since = None;
-            }
             let Ok(has_written) = write(&sock, &conn) else { return };
-            let (wants_bytes, has_output, idle, is_over, has_partial_message, has_open_calls) = {
-                let mut protocol = conn.protocol.borrow_mut();
-                if self.hub.failing_all.get() {
-                    protocol.finish();
-                }
-                let has_output = !protocol.output().is_empty();
-                let idle = protocol.open() == 0 && !has_output && !protocol.has_partial_message();
-                let has_open_calls = protocol.open() > 0;
-                (
-                    protocol.wants_bytes(),
-                    has_output,
-                    idle,
-                    protocol.is_over(),
-                    protocol.has_partial_message(),
-                    has_open_calls,
-                )
-            };
+            if self.hub.failing_all.get() && !may_have_more && sock.is_quiet() {
+                conn.protocol.borrow_mut().finish();
+            }
+            let state = ConnState::of(&conn.protocol.borrow(), may_have_more);
             self.set_reserved(&conn, self.bytes_in_use(&conn));
-            if is_over || (idle && self.hub.closing.get() && sock.is_quiet()) {
+            if state.is_over || (state.phase == Phase::Idle && self.hub.closing.get() && sock.is_quiet()) {
                 break;
             }
-            sock.set_phase(if idle { Phase::Idle } else { Phase::Busy });
+            sock.set_phase(state.phase);
             if may_have_more {
+                limits.message = None;
                 tokio::task::yield_now().await;
                 continue;
             }
-            let now = Instant::now();
-            message_since =
-                if has_partial_message && wants_bytes { message_since.or(Some(now)) } else { None };
-            blocked_since = if has_output && !has_written { blocked_since.or(Some(now)) } else { None };
-            let end = |since: Option<Instant>, most| since.map(|since| since + most);
-            let end = [end(message_since, REQUEST_TIMEOUT), end(blocked_since, ANSWER_STALL_TIMEOUT)]
-                .into_iter()
-                .flatten()
-                .min();
-            let wake_at = end.unwrap_or(now + Duration::from_secs(3600));
+            limits.update(&state, handled > 0, has_written);
+            let wake_at = limits.due(&state).unwrap_or_else(|| Instant::now() + Duration::from_secs(3600));
             tokio::select! {
-                ready = sock.readable(), if wants_bytes => {
+                ready = sock.readable(), if state.wants_bytes => {
                     if ready.is_err() || !self.read(&sock, &conn) {
                         return;
                     }
                 }
-                ready = sock.writable(), if has_output => {
+                ready = sock.writable(), if state.has_output => {
                     if ready.is_err() {
                         return;
                     }
@@ -166,23 +223,48 @@
                 () = conn.changed.notified() => {}
                 // A client that has closed its connection no longer waits for its answers. The close is
                 // detected here because the bytes before it are not being read.
-                () = sock.wait_closed(), if has_open_calls && !wants_bytes =>
+                () = sock.wait_closed(), if state.has_open_calls && !state.wants_bytes =>
                     return client.set_ending(Ending::Left),
                 () = client.close.notified() => if self.clients.confirm_close(&client) {
                     break;
                 },
                 () = tokio::time::sleep_until(wake_at.into()) => {
-                    log::write_line("msgpack: a message or an answer timed out; connection closed".to_string());
-                    if has_open_calls || has_output {
-                        self.hub.figures.with(|figures| figures.closed_unanswered += 1);
+                    let now = Instant::now();
+                    if limits.are_answers_overdue(now) {
+                        self.report_unread_answers(&conn);
+                        return client.set_ending(Ending::Stuck);
+                    }
+                    let Some(message) = limits.overdue_message(&state, now) else { continue };
+                    if sock.pending() != Pending::Bytes {
+                        log_slow_message(&message, now);
+                        client.set_ending(Ending::Slow);
+                        break;
+                    }
+                    // More has arrived while this task could not run.
+                    if !self.read(&sock, &conn) {
+                        return;
                     }
-                    return client.set_ending(Ending::Slow);
+                    tokio::task::yield_now().await;
                 }
             }
         }
         let _ = timeout(LINGER_TIMEOUT, sock.linger()).await;
     }
 
+    /// Logs and counts a connection that is closed because its client does not read its answers.
+    fn report_unread_answers(&self, conn: &Conn) {
+        let (open, unread) = {
+            let protocol = conn.protocol.borrow();
+            (protocol.open(), protocol.output().len())
+        };
+        log::write_line(format!(
+            "msgpack: a client's connection is closed: its answers were not read for {:.1} s, {unread} bytes are \
+             unwritten and {open} calls open",
+            ANSWER_STALL_TIMEOUT.as_secs_f64(),
+        ));
+        self.hub.figures.with(|figures| figures.closed_unanswered += 1);
+    }
+
     /// Reads available bytes; false if the client has disconnected.
     fn read(&self, sock: &TrackedSocket, conn: &Conn) -> bool {
         let mut chunk = self.chunk.borrow_mut();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 pub mod admin;
+pub mod arrival;
 pub mod backend;
 pub mod blocks;
 pub mod call;
--- a/crates/node/src/pace.rs
+++ b/crates/node/src/pace.rs
@@ -22,8 +22,8 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
+use crate::arrival::MIN_BODY_BYTES_PER_S;
 use crate::call::MAX_BUFFERED_BODY_BYTES;
-use crate::sock::MIN_BODY_BYTES_PER_S;
 
 /// How long after its client's time an answer may end: half a second, less what a node may be held up.
 const ANSWER_SLACK: Duration = Duration::from_millis(350);
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -15,20 +15,13 @@
 use tokio::io::{Interest, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::arrival::{BodyArrival, HEAD_TIMEOUT};
 use crate::requests::{ReceivedRequests, RequestHead};
 use crate::upload_progress::UploadProgress;
 
 /// The largest single read.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 
-/// How long a request may take to arrive; for the first one it counts from the start of the connection.
-pub const REQUEST_TIMEOUT: Duration = Duration::from_millis(2500);
-/// How long a body may pause, and how long it may take to get up to its least rate.
-const MAX_BODY_PAUSE: Duration = Duration::from_millis(2200);
-const BODY_GRACE: Duration = Duration::from_millis(2500);
-/// How many bytes per second a body must deliver: a quarter of what a slow peer sends.
-pub const MIN_BODY_BYTES_PER_S: f64 = 16_000.0;
-
 /// The transfer progress of one HTTP message.
 #[derive(Default)]
 struct Progress {
@@ -174,7 +167,8 @@
     phase: Cell<Phase>,
     /// When the phase began.
     phase_since: Cell<Instant>,
-    /// When the request being received must be complete.
+    /// When the head of the request being received must be complete; for the first one it counts from the
+    /// start of the connection.
     request_due: Cell<Instant>,
     /// Whether this is a client's HTTP connection, whose requests are tracked here.
     tracks_requests: Cell<bool>,
@@ -192,8 +186,8 @@
     readable_since: Cell<Instant>,
     /// Whether the socket was found empty after the last read.
     is_empty: Cell<bool>,
-    /// When the body of the current request began to arrive, and how many bytes preceded it.
-    body_start: Cell<Option<(Instant, usize)>>,
+    /// The body of the current request, once it has begun to arrive.
+    body_arrival: Cell<Option<BodyArrival>>,
     /// When the call began by which the kernel last accepted bytes to write.
     last_write_at: Cell<Instant>,
     /// The progress of the current request's body, if it is streamed.
@@ -241,7 +235,7 @@
             on_written: Cell::default(),
             phase: Cell::new(Phase::Idle),
             phase_since: Cell::new(now),
-            request_due: Cell::new(now + REQUEST_TIMEOUT),
+            request_due: Cell::new(now + HEAD_TIMEOUT),
             tracks_requests: Cell::new(tracks_requests),
             has_received: Cell::new(false),
             answer_count: Cell::new(0),
@@ -250,7 +244,7 @@
             last_read_at: Cell::new(now),
             readable_since: Cell::new(now),
             is_empty: Cell::new(true),
-            body_start: Cell::new(None),
+            body_arrival: Cell::new(None),
             last_write_at: Cell::new(now),
             upload: RefCell::default(),
             requests: RefCell::default(),
@@ -339,26 +333,25 @@
     }
 
     /// Returns whether the request being received is overdue. A head has a fixed deadline. A body may take
-    /// long while it makes progress; one that pauses or trickles would occupy a connection and memory.
+    /// long while it makes progress; one that pauses or trickles would occupy a connection and memory. Where
+    /// requests are not tracked here, the front closes the connection itself.
     pub fn is_request_overdue(&self) -> bool {
-        if self.phase.get() != Phase::Reading {
+        if self.phase.get() != Phase::Reading || !self.tracks_requests.get() {
             return false;
         }
-        let Some((began, before)) = self.body_start.get() else {
+        let Some(body) = self.body_arrival.get() else {
             return Instant::now() >= self.request_due.get();
         };
         // While the server accepts no more data, the client is not the slow side.
         if self.upload.borrow().as_ref().is_some_and(|u| u.ended.get() || !u.awaits_data.get()) {
             return false;
         }
-        let received = self.request_bytes.get().saturating_sub(before) as f64;
-        self.last_read_at.get().elapsed() >= MAX_BODY_PAUSE
-            || began.elapsed() >= BODY_GRACE + Duration::from_secs_f64(received / MIN_BODY_BYTES_PER_S)
+        Instant::now() >= body.due(self.request_bytes.get(), self.last_read_at.get())
     }
 
     /// Marks the head of the current request as complete and its body as being read.
     pub fn begin_body(&self) {
-        self.body_start.set(Some((Instant::now(), self.request_bytes.get())));
+        self.body_arrival.set(Some(BodyArrival::begin(Instant::now(), self.request_bytes.get())));
     }
 
     /// Marks the body of the current request as streamed.
@@ -651,10 +644,10 @@
     fn begin_request(&self, is_later: bool) {
         self.enter_phase(Phase::Reading);
         self.request_bytes.set(0);
-        self.body_start.set(None);
+        self.body_arrival.set(None);
         self.upload.take();
         if is_later {
-            self.request_due.set(self.phase_since.get() + REQUEST_TIMEOUT);
+            self.request_due.set(self.phase_since.get() + HEAD_TIMEOUT);
         }
     }
 
