--- a/crates/list/src/lib.rs
+++ b/crates/list/src/lib.rs
@@ -15,5 +15,5 @@
 pub mod succession;
 
 pub use entry::{parse_update, update_from_value, Endpoint, Health, ListEntry, Protocol, Update};
-pub use merge::{ConfiguredChange, ConfiguredServer, MergedList, Source};
+pub use merge::{ConfiguredChange, ConfiguredServer, MergedList, SavedList, Source};
 pub use succession::VersionCheck;
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use glenwood_core::{AttemptId, AttemptResult, Core, Final, Incoming, Output, Rejection};
-use glenwood_list::{MergedList, Source, VersionCheck};
+use glenwood_list::{MergedList, SavedList, Source, VersionCheck};
 use glenwood_operation::budget::Budget;
 use glenwood_operation::figures::{End, Shared, Ticket};
 use glenwood_operation::places::{Slot, Slots};
@@ -23,7 +23,7 @@
 use crate::call::{Call, Reply};
 use answers::LineBudget;
 pub use answers::{AbandonedUpload, TruncatedAnswer, UnansweredClose};
-use servers::LastSeen;
+use servers::{LastSeen, Origin};
 pub use settings::{Overlay, SettingsChange};
 
 use crate::clock::Clock;
@@ -212,7 +212,11 @@
             core: RefCell::new(core),
             waiters: RefCell::default(),
             servers: RefCell::new(Servers::new(config.operator.msgpack_servers())),
-            merge: config.operator.has_additional_source().then(RefCell::default),
+            merge: config.operator.has_additional_source().then(|| {
+                let is_asked = config.operator.uses_discovery();
+                let known_list_source = if is_asked { Source::Discovery } else { Source::Registrations };
+                RefCell::new(MergedList::new(known_list_source))
+            }),
             succession: RefCell::default(),
             version: Cell::new(None),
             list_received: Cell::new(false),
@@ -244,7 +248,13 @@
         let saved = known.unwrap_or(Update { version: 0, is_full: true, hosts: Vec::new() });
         // No server is known yet and no list was taken before, so this one is accepted.
         let _ = self.succession.borrow_mut().accept(&saved, 0);
-        self.take_list(Source::Discovery, saved, true);
+        self.version.set(Some(saved.version));
+        let hosts = match &self.merge {
+            Some(merge) => merge.borrow_mut().restore(SavedList::Known, saved.hosts),
+            None => saved.hosts,
+        };
+        let update = Update { version: saved.version, is_full: true, hosts };
+        self.apply_merged(Origin::Source(Source::Discovery), update, true);
     }
 
     /// Sets the gate that gets requests before the core. To be called once.
@@ -430,12 +440,13 @@
         let can_send = self.list_expired_since.get().is_none() || self.merge.is_some();
         let ready = self.ready() && self.listening.get() && can_send;
         let listed = self.listed_servers() as u64;
+        let saved = self.merge.as_ref().map_or(0, |merge| merge.borrow().saved_count()) as u64;
         let (avoided, send_counts, list_status) = {
             let core = self.core.borrow();
             (core.ejected_count() as u64, core.doubtful_sends(), core.list_status())
         };
         self.figures.with(|f| {
-            (f.ready, f.listed, f.avoided) = (ready, listed, avoided);
+            (f.ready, f.listed, f.listed_saved, f.avoided) = (ready, listed, saved, avoided);
             (f.stale_sends, f.refused_sends) = (send_counts.stale, send_counts.refused);
             f.unreachable_calls = list_status.unreachable_calls;
             f.overloaded_calls = list_status.overloaded_calls;
--- a/crates/node/src/hub/servers.rs
+++ b/crates/node/src/hub/servers.rs
@@ -1,9 +1,9 @@
 //! The list of servers at the hub: updates from discovery, registrations and configuration.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 
 use glenwood_core::AttemptId;
-use glenwood_list::{ConfiguredChange, Source};
+use glenwood_list::{ConfiguredChange, MergedList, SavedList, Source};
 use glenwood_policy::{CallVerdict, ListFailure, Millis, RotationStatus};
 use glenwood_trace::TraceEvent;
 
@@ -13,7 +13,7 @@
 
 /// What an update of the merged list comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Origin {
+pub(super) enum Origin {
     Source(Source),
     Configuration,
 }
@@ -164,9 +164,10 @@
         let list_received = self.list_received.replace(true);
         if first || !list_received {
             let rotation_status = self.list_lost_since.get().map(|_| self.core.borrow().rotation_status());
-            self.update_core(|core, now| core.list_changed(now, Vec::new()));
+            let confirmed = self.merge.as_ref().map(|merge| merge.borrow_mut().confirm(Source::Discovery));
+            let update = Update { version: 0, is_full: false, hosts: confirmed.unwrap_or_default() };
+            self.apply_merged(Origin::Source(Source::Discovery), update, false);
             self.log_list_followed_again(rotation_status);
-            self.update_figures();
         } else {
             self.update_core(|core, now| core.list_heartbeat(now));
         }
@@ -207,20 +208,25 @@
             });
         }
         let rotation_status = self.list_lost_since.get().map(|_| self.core.borrow().rotation_status());
-        self.take_list(Source::Discovery, update, false);
+        self.take_list(Source::Discovery, update);
         self.log_list_followed_again(rotation_status);
         Ok(())
     }
 
     // ---- Registrations ----
 
-    /// Registrations have changed; with `whole`, `hosts` are all there are. `saved` is set for those saved
-    /// before the node's start.
-    pub fn apply_registrations(&self, whole: bool, hosts: Vec<ListEntry>, saved: bool) {
-        if !saved {
-            self.list_received.set(true);
-        }
-        self.take_list(Source::Registrations, Update { version: 0, is_full: whole, hosts }, saved);
+    /// Registrations have changed; with `whole`, `hosts` are all there are.
+    pub fn apply_registrations(&self, whole: bool, hosts: Vec<ListEntry>) {
+        self.list_received.set(true);
+        self.take_list(Source::Registrations, Update { version: 0, is_full: whole, hosts });
+    }
+
+    /// The registrations that were saved before the node's start.
+    pub fn restore_registrations(&self, hosts: Vec<ListEntry>) {
+        let Some(merge) = &self.merge else { return };
+        let hosts = merge.borrow_mut().restore(SavedList::Registrations, hosts);
+        let update = Update { version: 0, is_full: false, hosts };
+        self.apply_merged(Origin::Source(Source::Registrations), update, true);
     }
 
     /// Configuration has added, changed or removed servers.
@@ -237,19 +243,34 @@
         answered.is_some_and(|at| self.clock.now() - at <= max_age)
     }
 
-    pub(super) fn take_list(&self, source: Source, update: Update, saved: bool) {
+    fn take_list(&self, source: Source, update: Update) {
         if source == Source::Discovery {
             self.version.set(Some(update.version));
         }
         let update = match &self.merge {
-            Some(merge) => merge.borrow_mut().apply(source, update),
+            Some(merge) => self.merge_update(merge, source, update),
             None => update,
         };
-        self.apply_merged(Origin::Source(source), update, saved);
+        self.apply_merged(Origin::Source(source), update, false);
+    }
+
+    /// Merges an update of one source, and logs how many servers are then still known from before the start
+    /// alone.
+    fn merge_update(&self, merge: &RefCell<MergedList>, source: Source, update: Update) -> Update {
+        let mut merge = merge.borrow_mut();
+        let saved_before = merge.saved_count();
+        let merged = merge.apply(source, update);
+        let saved = merge.saved_count();
+        if saved != saved_before {
+            log::write_line(format!(
+                "list: of {saved_before} servers of saved lists alone {saved} are left, {source:?} has reported"
+            ));
+        }
+        merged
     }
 
     /// Applies an update of the merged list.
-    fn apply_merged(&self, origin: Origin, update: Update, saved: bool) {
+    pub(super) fn apply_merged(&self, origin: Origin, update: Update, saved: bool) {
         let whole = update.is_full;
         let last_seen = self.list_last_seen.of(origin);
         let times = UpdateTimes {
--- a/crates/node/src/registrations.rs
+++ b/crates/node/src/registrations.rs
@@ -43,7 +43,7 @@
                 let age = ((unix_ms() - saved.at_unix_ms) / 1000.0).max(0.0);
                 let count = saved.hosts.len();
                 log::write_line(format!("registrations: {count} servers of a saved view, {age:.0} s old"));
-                hub.apply_registrations(true, saved.hosts, true);
+                hub.restore_registrations(saved.hosts);
             }
         },
     }
@@ -182,7 +182,7 @@
                 for host in &hosts {
                     invalid.remove(&host.host);
                 }
-                hub.apply_registrations(whole, hosts, false);
+                hub.apply_registrations(whole, hosts);
                 saver.iter_mut().for_each(Saver::changed);
             }
             Some(ViewEvent::Rejected { name, reason }) => {
--- a/crates/node/tests/registrations.rs
+++ b/crates/node/tests/registrations.rs
@@ -9,11 +9,12 @@
 use glenwood_testkit::client::{ask_once, Answer, Ask, Client, Effect};
 use glenwood_testkit::coordination::net::Service;
 use glenwood_testkit::coordination::register::{entry, Registration};
-use glenwood_testkit::discovery::{active, Discovery};
+use glenwood_testkit::discovery::{active, host, Discovery};
 use glenwood_testkit::node::{config, settings, Node, Program};
 use glenwood_testkit::script::{always, Ledger, Script, Step};
 use glenwood_testkit::server::{Identity, Protocol, StandIn};
 use glenwood_testkit::{runtime, until, wait};
+use serde_json::{json, Value};
 
 /// An address without a listener: the port is a reserved one.
 const UNUSED_ADDRESS: &str = "127.0.0.1:1";
@@ -31,6 +32,13 @@
     Node::start(&program(), &config("n0", discovery, settings(400.0)), Some(operator))
 }
 
+/// A node that is started with a list as it last had it.
+fn restarted_node(known: &[Value], operator: &str) -> Node {
+    let mut config = config("n0", unused_address(), settings(400.0));
+    config["known"] = json!({"seq": 1, "whole": true, "hosts": known});
+    Node::start(&program(), &config, Some(operator))
+}
+
 fn unused_address() -> SocketAddr {
     UNUSED_ADDRESS.parse().expect("an address")
 }
@@ -207,6 +215,56 @@
     let _ = std::fs::remove_dir_all(path.parent().expect("a folder"));
 }
 
+/// Guards against a server that only the list of the node's start names and that stays in use for good: the
+/// whole list of registrations takes it out, and nobody else can.
+#[test]
+fn a_server_that_left_the_registrations_while_a_node_was_down_gets_nothing_after_its_start() {
+    let (seen, script) = counting();
+    let (ledger, service) = (ledger(), Service::start(1));
+    let servers = ["a", "b", "c"].map(|name| server(name, script.clone(), &ledger));
+    let _registrations = [&servers[0], &servers[1]].map(|server| register(&service, server, 1.0, 4000.0));
+    let known = servers.each_ref().map(active);
+    let node = restarted_node(&known, &operator(&service, "alone = true"));
+    node.wait_ready();
+    until("the node has the registrations", || logged(&node, "registrations: 2 servers"));
+    until("c is out of rotation", || servers_of(&seen, &node, "first", 12) == ["a", "b"]);
+    assert_eq!(servers_of(&seen, &node, "later", 30), ["a", "b"]);
+}
+
+/// Guards against a registered server that gets nothing for what the list of the node's start says of it: a
+/// drain of an earlier process, and another address with a start time of a clock that was ahead. Discovery is
+/// not used, or can't be reached.
+#[test]
+fn a_registered_server_is_in_use_whatever_the_list_of_the_nodes_start_says_of_it() {
+    let (seen, script) = counting();
+    let (ledger, service) = (ledger(), Service::start(1));
+    let servers = ["a", "b"].map(|name| server(name, script.clone(), &ledger));
+    let _registrations = servers.each_ref().map(|server| register(&service, server, 60_000.0, 4000.0));
+    let saved = |address, health, started_ms| host("b", address, Protocol::Http, 0, health, started_ms);
+    for (mode, is_alone) in [("alone", true), ("both", false)] {
+        for (n, b) in [
+            saved(servers[1].address, "leaving", 1),
+            saved(unused_address(), "active", 180_000),
+            saved(unused_address(), "leaving", 180_000),
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            let node = restarted_node(
+                &[active(&servers[0]), b],
+                &operator(&service, &format!("alone = {is_alone}")),
+            );
+            node.wait_ready();
+            until("the node has the registrations", || logged(&node, "registrations: 2 servers"));
+            until("b is in rotation", || {
+                let answers = (0..12).map(|k| is_served(&node, &format!("{mode}{n}-{k}")));
+                answers.filter(|is_served| *is_served).count() == 12
+                    && servers_of(&seen, &node, &format!("{mode}{n}"), 12) == ["a", "b"]
+            });
+        }
+    }
+}
+
 /// Saving the view fails when it changes, and would succeed later: it is then saved without a further change.
 #[test]
 fn a_view_whose_save_failed_is_saved_later() {
--- a/crates/operation/src/figures.rs
+++ b/crates/operation/src/figures.rs
@@ -62,6 +62,8 @@
     pub sends: u64,
     /// Servers in the list.
     pub listed: u64,
+    /// Listed servers that only lists saved before the node's start name.
+    pub listed_saved: u64,
     /// Listed servers that the node avoids.
     pub avoided: u64,
     /// Attempts started on an outdated report of their server, as no server with a fresher report had
@@ -172,6 +174,12 @@
             ("sends", "counter", self.sends, "Attempts written whole to servers."),
             ("current", "gauge", self.current, "Requests taken and not ended."),
             ("cluster_size", "gauge", self.listed, "Servers in the list."),
+            (
+                "cluster_saved",
+                "gauge",
+                self.listed_saved,
+                "Listed servers that only lists saved before the start name.",
+            ),
             ("cluster_unhealthy", "gauge", self.avoided, "Listed servers that the node avoids now."),
             ("stale_sends", "counter", self.stale_sends, "Attempts begun by an old word of their server."),
             (
