--- a/crates/node/src/configuration/offer.rs
+++ b/crates/node/src/configuration/offer.rs
@@ -126,15 +126,11 @@
 /// Checks that guarded works are retained for longer than the longest deadline, as at the start.
 fn check_deadlines(hub: &Hub, change: &SettingsChange) -> Result<(), String> {
     let Some(custody) = &hub.config.operator.custody else { return Ok(()) };
-    let limit = custody.life_ms as f64 / 2.0;
-    let too_long =
-        change.classes.iter().find(|(_, class)| class.as_ref().is_some_and(|c| c.client_timeout > limit));
-    match too_long {
-        Some((name, _)) => {
-            Err(format!("class {name}: a deadline of {limit} ms at most expected, by custody.life_ms"))
-        }
-        None => Ok(()),
+    for (name, class) in &change.classes {
+        let deadline = class.as_ref().map_or(0.0, |class| class.client_timeout);
+        custody.check_deadline(deadline).map_err(|e| format!("class {name}: {e}"))?;
     }
+    Ok(())
 }
 
 /// Applies the tenants and classes of the replica to the settings of a file.
--- a/crates/node/src/custody/mod.rs
+++ b/crates/node/src/custody/mod.rs
@@ -30,7 +30,7 @@
 use tokio::sync::Notify;
 
 pub use guard::Guarded;
-pub use table::{NoMajorityRule, Table};
+pub use table::{DeadlineTooLong, NoMajorityRule, Table};
 
 use crate::call::{Call, Reply};
 use crate::config::Config;
@@ -149,13 +149,7 @@
         let Some(table) = config.operator.custody.clone() else { return Ok(None) };
         let membership = membership.ok_or("custody: needs the table members")?.clone();
         let members_table = config.operator.members.as_ref().ok_or("custody: needs the table members")?;
-        let longest = hub.settings().max_deadline;
-        if longest > table.life_ms as f64 / 2.0 {
-            return Err(format!(
-                "custody.life_ms: twice the longest deadline of {longest} ms at the least expected, not {}",
-                table.life_ms
-            ));
-        }
+        table.check_deadline(hub.settings().max_deadline).map_err(|e| e.to_string())?;
         let known = hub.settings().classes.clone();
         let named = table.no_majority_rules.keys().chain(&table.unguarded_classes);
         if let Some(class) = named.into_iter().find(|class| !known.contains(class)) {
--- a/crates/node/src/custody/table.rs
+++ b/crates/node/src/custody/table.rs
@@ -1,6 +1,7 @@
 //! The table `custody` of the operator's file.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use glenwood_custody::{NodeId, Roster, Rosters};
 use glenwood_datagram::stable_hash;
@@ -39,12 +40,45 @@
     pub unguarded_classes: Vec<String>,
 }
 
+/// A deadline of the settings for which registers are not retained for long enough.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DeadlineTooLong {
+    /// The longest deadline of the settings, in milliseconds.
+    pub longest_ms: f64,
+    /// How long a register is retained, in milliseconds.
+    pub life_ms: u64,
+}
+
+impl fmt::Display for DeadlineTooLong {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { longest_ms, life_ms } = self;
+        write!(
+            f,
+            "custody.life_ms: twice the longest deadline of {longest_ms} ms at the least expected, not {life_ms}"
+        )
+    }
+}
+
+impl std::error::Error for DeadlineTooLong {}
+
 /// The id of a node, derived from its name.
 pub fn node_id(name: &str) -> NodeId {
     NodeId(stable_hash(&[b"member", name.as_bytes()]))
 }
 
 impl Table {
+    /// Checks that a register is retained for twice the longest deadline of the settings. To be called with
+    /// all settings that a node is to use, wherever they come from.
+    ///
+    /// # Errors
+    /// The deadline for which it is not.
+    pub fn check_deadline(&self, longest_ms: f64) -> Result<(), DeadlineTooLong> {
+        if 2.0 * longest_ms > self.life_ms as f64 {
+            return Err(DeadlineTooLong { longest_ms, life_ms: self.life_ms });
+        }
+        Ok(())
+    }
+
     /// Reads and checks the table.
     ///
     /// # Errors
--- a/crates/node/src/hub/settings.rs
+++ b/crates/node/src/hub/settings.rs
@@ -1,5 +1,6 @@
 //! The settings in force at a node, and how they change while requests are open.
 
+use std::fmt;
 use std::rc::Rc;
 
 use glenwood_operation::places::{Slot, SlotChange};
@@ -7,6 +8,7 @@
 use glenwood_settings::NodeSettings;
 
 use super::Hub;
+use crate::custody::DeadlineTooLong;
 
 /// Applies changes on top of the settings of a file; they take precedence over the file.
 pub trait Overlay {
@@ -14,6 +16,38 @@
     fn apply(&self, settings: &mut NodeSettings);
 }
 
+/// Why new settings are rejected.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RejectedSettings {
+    /// The core would refuse them.
+    Policy(SettingsError),
+    /// Custody does not retain its registers for long enough.
+    Deadline(DeadlineTooLong),
+}
+
+impl fmt::Display for RejectedSettings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Policy(error) => error.fmt(f),
+            Self::Deadline(error) => error.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for RejectedSettings {}
+
+impl From<SettingsError> for RejectedSettings {
+    fn from(error: SettingsError) -> Self {
+        Self::Policy(error)
+    }
+}
+
+impl From<DeadlineTooLong> for RejectedSettings {
+    fn from(error: DeadlineTooLong) -> Self {
+        Self::Deadline(error)
+    }
+}
+
 /// Changes of classes and tenants; `None` for those that are removed.
 #[derive(Debug, Default)]
 pub struct SettingsChange {
@@ -51,12 +85,15 @@
     /// Applies new settings, all or none. Requests that were read before keep the slot of their class.
     ///
     /// # Errors
-    /// An error where the core would refuse them.
-    pub fn new_settings(&self, mut new: NodeSettings) -> Result<(), SettingsError> {
+    /// The reason why they can't be used.
+    pub fn new_settings(&self, mut new: NodeSettings) -> Result<(), RejectedSettings> {
         if let Some(overlay) = self.overlay.get() {
             overlay.apply(&mut new);
         }
         new.policy.check()?;
+        if let Some(custody) = &self.config.operator.custody {
+            custody.check_deadline(new.max_deadline)?;
+        }
         let old = self.settings();
         let tenant_names = std::mem::take(&mut new.tenants);
         // How the list is obtained can't change while the node runs; that waits for the next start.
@@ -76,7 +113,8 @@
         }
         let (classes, tenants, policy) = (are_new(&classes), are_new(&tenants), new.policy.clone());
         self.settings.replace(Rc::new(new));
-        self.update_core(|core, now| core.new_settings(now, policy, classes, tenants))
+        self.update_core(|core, now| core.new_settings(now, policy, classes, tenants))?;
+        Ok(())
     }
 
     /// Sets the overlay that is applied to the settings of each file. To be called once.
--- a/crates/node/tests/custody.rs
+++ b/crates/node/tests/custody.rs
@@ -9,7 +9,8 @@
 use std::time::{Duration, Instant};
 
 use glenwood_testkit::client::{Answer, Ask, Effect};
-use glenwood_testkit::node::Program;
+use glenwood_testkit::discovery::Discovery;
+use glenwood_testkit::node::{config, settings, Node, Program};
 use glenwood_testkit::rig::load::{ask_at, Load, Outcome};
 use glenwood_testkit::rig::relay::{End, Impairment, LinkImpairment};
 use glenwood_testkit::rig::schedule::{Fault, FaultKind, ReplayHint, Schedule};
@@ -106,6 +107,45 @@
     Arc::new(move |_| Step::ServeAfter(Duration::from_millis(ms)))
 }
 
+/// Guards against an unsafe request that runs twice, as its deadline came at a reload and outlives the registers:
+/// such settings are rejected at SIGHUP as at the start, and the old ones stay.
+#[test]
+fn a_reload_with_deadlines_that_outlive_the_registers_is_rejected() {
+    let discovery = Discovery::start(&[]);
+    let secret = std::env::temp_dir().join(format!("glenwood-custody-secret-{}", std::process::id()));
+    std::fs::write(&secret, [7; 32]).expect("a file");
+    let private = std::os::unix::fs::PermissionsExt::from_mode(0o600);
+    std::fs::set_permissions(&secret, private).expect("a file");
+    let keepers: String =
+        (0..3).map(|n| format!("[[custody.keeper]]\nname = 'n{n}'\nzone = 'z{n}'\n")).collect();
+    let operator = format!(
+        "[members]\ncluster = 'c'\nsecret = '{}'\nlisten = '127.0.0.1:0'\nzone = 'z0'\nseeds = ['127.0.0.1:1']\n\
+         [custody]\nlife_ms = {REGISTER_LIFE_MS}\n{keepers}",
+        secret.display()
+    );
+    let with_deadline = |deadline_ms: u64| {
+        let mut config = config("n0", discovery.address, settings(100.0));
+        for class in config["settings"]["Classes"].as_array_mut().expect("classes") {
+            class["Deadline"] = json!(deadline_ms);
+        }
+        config
+    };
+    let program = Program::new(PathBuf::from(env!("CARGO_BIN_EXE_glenwood")));
+    let node = Node::start(&program, &with_deadline(DEADLINE_MS), Some(&operator));
+    let count = |text: &str| node.log().iter().filter(|line| line.contains(text)).count();
+    let rejected =
+        "reload: settings: custody.life_ms: twice the longest deadline of 2001 ms at the least expected";
+    node.reload(&with_deadline(DEADLINE_MS + 1));
+    until("the reload is rejected", || count(rejected) == 1);
+    // The longest deadline that fits, and a shorter one.
+    for (n, deadline_ms) in [DEADLINE_MS, DEADLINE_MS / 2].into_iter().enumerate() {
+        node.reload(&with_deadline(deadline_ms));
+        until("the reload is applied", || count("reload: discovery is ") == n + 1);
+    }
+    assert_eq!(count(rejected), 1);
+    let _ = std::fs::remove_file(&secret);
+}
+
 #[test]
 fn a_work_that_was_sent_is_not_sent_again_and_its_repeat_is_told_so() {
     let rig = start_rig(plan(6, 4, 6, serve_after(600)), 6);
