--- a/crates/node/src/custody/form.rs
+++ b/crates/node/src/custody/form.rs
@@ -21,8 +21,15 @@
     matches!(&call.origin, Origin::Http(headers) if headers.get(RESENT).is_some_and(|v| v.as_bytes() == b"1"))
 }
 
+/// Is the request a client's repeat of which the node can't tell what it repeats? Without a key that takes the
+/// whole body, and a body that is too long for the node's memory is not read before it is sent on.
+pub fn is_unidentified_repeat(call: &Call) -> bool {
+    call.key.is_none() && call.rest.is_some() && is_marked(call)
+}
+
 /// A digest of what is requested and by whom. With a key: tenant, class and key. Without one: everything
-/// that the node can see, except the id and the fields that the protocol changes with each try.
+/// that the node can see, except the id and the fields that the protocol changes with each try. A request
+/// whose body is still to come has no digest in common with one whose body is known.
 pub fn slot(call: &Call) -> (u64, u64) {
     let tenant = call.class_and_tenant.1.as_ref().map_or("", |tenant| &*tenant.name);
     let class = &*call.class_and_tenant.0.name;
@@ -43,7 +50,8 @@
             Origin::Rpc { user, .. } => user.as_deref().unwrap_or_default().as_bytes(),
         };
         body = call.body.to_contiguous().to_vec();
-        parts.extend([&b"all"[..], target.as_bytes(), user, header(&ESTIMATE), header(&LABELS), &body]);
+        let extent: &[u8] = if call.rest.is_some() { b"part" } else { b"all" };
+        parts.extend([extent, target.as_bytes(), user, header(&ESTIMATE), header(&LABELS), &body]);
     }
     let digest = |salt: &'static [u8]| {
         let mut all = vec![salt];
--- a/crates/node/src/custody/mod.rs
+++ b/crates/node/src/custody/mod.rs
@@ -42,6 +42,8 @@
 const MAX_WORKS: usize = 65_536;
 /// The least remaining client time for which an orphaned work is still taken over.
 const MIN_ADOPTABLE_REMAINING_MS: u64 = 30;
+/// The number of a client that was answered at once; those that wait are numbered from 1.
+const NO_WAITER: u64 = 0;
 
 /// Counters beyond those of the coordinator and the keeper.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
@@ -536,6 +538,15 @@
         if self.table.unguarded_classes.contains(&name) {
             return Err((incoming, waiter));
         }
+        if form::is_unidentified_repeat(call) {
+            // It may be equal to any work or to none, and its first try may have run.
+            self.count(|counts| {
+                counts.guarded += 1;
+                counts.doubtful += 1;
+            });
+            waiter(Final::Failed);
+            return Ok(NO_WAITER);
+        }
         let now = self.now();
         let left = (incoming.deadline - self.hub.clock.now()).max(0.0);
         let ask = glenwood_custody::SubmittedRequest {
@@ -556,7 +567,7 @@
             }
             self.count(|counts| counts.refused += 1);
             waiter(Final::Refused { retry_after: self.hub.retry_after(class) });
-            return Ok(0);
+            return Ok(NO_WAITER);
         };
         let number = self.last_number.get() + 1;
         self.last_number.set(number);
--- a/crates/node/tests/custody.rs
+++ b/crates/node/tests/custody.rs
@@ -298,6 +298,25 @@
     assert_eq!(rig.ledger.count_of("left").attempts, 1, "it was sent for a client that had gone");
 }
 
+/// Guards against serving a client with the answer to another's request: a marked repeat whose body is too long
+/// to be read first is not taken for the one other work of its class and path, nor is one without a body.
+#[test]
+fn a_marked_repeat_with_an_unread_body_is_taken_for_no_other_work() {
+    // Of the 192 MB of a node a single body may take 24 MB.
+    const LONG_BODY_BYTES: usize = 28 << 20;
+    let rig = start_rig(with_longer_deadlines(plan(6, 4, 6, serve_after(5))), 6);
+    let with_body = |ask: Ask, byte: u8| Ask { body: vec![byte; LONG_BODY_BYTES], remaining_ms: 3500, ..ask };
+    let first = wait_answer(send_request(&rig, 0, with_body(slip("scan", "a", false), 1)));
+    assert!(matches!(first, Answer::Served(_)), "{}", first.kind());
+    let without_body = Ask { body: Vec::new(), ..slip("scan", "b", true) };
+    let other = wait_answer(send_request(&rig, 2, without_body));
+    assert_eq!((other.kind(), rig.ledger.count_of("b").executions), ("served", 1));
+    // Nobody knows whether it repeats a request that ran, or which.
+    let repeat = wait_answer(send_request(&rig, 1, with_body(slip("scan", "c", true), 2)));
+    assert_eq!((repeat.kind(), rig.ledger.count_of("c").attempts), ("failed", 0));
+    until("it is counted", || rig.metric(1, "custody_doubtful") == Some(1));
+}
+
 #[test]
 fn a_repeat_joins_the_work_while_its_holder_lives() {
     let rig = start_rig(plan(6, 4, 6, serve_after(500)), 6);
