Tests wait for the log lines that they count: a line comes after what it tells of

Cause: the node queues a line for a thread of its own (log.rs) and the test reads standard error on another; the test counted the lines as soon as its clients saw their connections end, and all three end in the same millisecond. Ruled out: another final answer in place of a truncated one (the assertions before it hold) and a bound other than "no body" (the lines that come say it).

Change: `Node::wait_for_log_lines` waits for so many lines, up to the tests' usual time limit, and the count must be exact as before. Seven more assertions of this kind (node, operation, endings, members) wait as well; none is dropped, and no bound of time is changed.

--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -501,7 +501,8 @@
     });
     let node = Node::ready(&config(lists.address));
     until("the update is applied", || Client::to(&node).ask(&request("look", "t1", 9000)).body == b"b");
-    assert_eq!((lists.watch_count(), node.count_log_lines("is not taken")), (2, 1));
+    let rejections = node.wait_for_log_lines(1, |line| line.contains("is not taken"));
+    assert_eq!((lists.watch_count(), rejections.len()), (2, 1));
 }
 
 /// Discovery moves to another address while a call to the old one is pending and never answered, in both
--- a/crates/node/tests/members.rs
+++ b/crates/node/tests/members.rs
@@ -60,7 +60,9 @@
     until("all know that it is lost", || states(&rig, &others(2), 2).iter().all(|s| s == "lost"));
     rig.apply_fault(&Fault::Resume(2));
     rig.wait_for_membership();
-    assert!(rig.count_log_lines(2, "members: this node stood still for") >= 1);
+    until("it has logged that it stood still", || {
+        rig.count_log_lines(2, "members: this node stood still for") >= 1
+    });
     for of in (0..12).filter(|n| ![2, 4, 7].contains(n)) {
         assert_eq!(lost_lines(&rig, &(0..12).collect::<Vec<_>>(), of), 0, "no node reported n{of} as lost");
     }
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -253,7 +253,7 @@
     registry.send_line("{\"seq\":3,\"whole\":false,\"hosts\":[{\"host\":7}]}");
     until("the whole list is requested", || registry.paths().iter().any(|c| c == "/v1/endpoints"));
     until("the whole list is in use", || Client::to(&node).ask(&request("look", "t1", 15_000)).body == b"b");
-    assert!(node.log_contains("unreadable"));
+    node.wait_for_log("unreadable");
 }
 
 /// When a client disconnects, its attempts are cancelled.
--- a/crates/node/tests/operation.rs
+++ b/crates/node/tests/operation.rs
@@ -355,7 +355,8 @@
     }
     assert_eq!(metric(admin_address, "node_conf_loaded"), 1);
     assert_eq!(registry.paths().len(), calls, "the list is not requested again");
-    assert!(node.log_contains("Slo") && node.log_contains("the old configuration stays"));
+    node.wait_for_log("Slo");
+    node.wait_for_log("the old configuration stays");
     // Counters run from the start of the process, even for a class that no longer exists.
     assert_eq!(transactions(admin_address, "slip", "answered"), 1);
     assert_eq!(transactions(admin_address, "look-next", "answered"), 1);
@@ -450,7 +451,7 @@
         let new = Node::started_in(&shared_dir, &node_config).wait_listening();
         let admin_address = admin_address(&new);
         until("the new process is ready", || get(admin_address, "/ready").0 == 200);
-        assert!(old.log_contains("another process has the listening sockets too"));
+        old.wait_for_log("another process has the listening sockets too");
         old.terminate();
         until("the old process stops", || {
             http_call(self::admin_address(&old), "GET /ready HTTP/1.1\r\n\r\n").is_none_or(|a| a.0 == 503)
@@ -513,7 +514,8 @@
     registry.set_down(false);
     let fourth = Node::started_in(&shared_dir, &node_config).wait_listening();
     until("the fourth process is ready", || get(admin_address(&fourth), "/ready").0 == 200);
-    assert_eq!(old.count_log_lines("another process has"), 2);
+    let is_contact = |line: &str| line.contains("another process has");
+    assert_eq!(old.wait_for_log_lines(2, is_contact).len(), 2);
     let _ = std::fs::remove_dir_all(shared_dir);
 }
 
--- a/crates/node/tests/peers/mod.rs
+++ b/crates/node/tests/peers/mod.rs
@@ -557,6 +557,19 @@
         log.iter().filter(|line| is_selected(line)).cloned().collect()
     }
 
+    /// Waits until the predicate selects `count` lines of the log, or for [`WAIT_TIMEOUT`], and returns what it
+    /// selects: a line reaches the test some time after what it tells of.
+    pub fn wait_for_log_lines(&self, count: usize, is_selected: impl Fn(&str) -> bool) -> Vec<String> {
+        let start = Instant::now();
+        loop {
+            let lines = self.grep_log(&is_selected);
+            if lines.len() >= count || start.elapsed() >= WAIT_TIMEOUT {
+                return lines;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// Number of lines of the log that contain the pattern.
     pub fn count_log_lines(&self, pattern: &str) -> usize {
         self.log.lock().expect("mutex poisoned").iter().filter(|l| l.contains(pattern)).count()
--- a/crates/node/tests/sound_answers.rs
+++ b/crates/node/tests/sound_answers.rs
@@ -229,7 +229,8 @@
         assert!(outcome.body.is_none() && outcome.status != 0, "{script:?}: {outcome:?}");
         assert!(outcome.end <= script.wait + LATE_ANSWER_SLACK, "{script:?}: ends at {:?}", outcome.end);
     }
-    let lines = node.grep_log(|line| line.contains("answer truncated") && line.contains("length of 200000"));
+    let is_truncated = |line: &str| line.contains("answer truncated") && line.contains("length of 200000");
+    let lines = node.wait_for_log_lines(works.len(), is_truncated);
     assert_eq!(lines.len(), works.len(), "{lines:?}");
 }
 
