A full table closes no connection just accepted, and is searched again as they age

Callers saw: where all connections of a node are taken, a new client's connection was closed 0.1 ms after its accept, before its request was read; or it waited in the backlog for up to 2.5 s (20 s where all are kept alive), though there was room.

Cause, both in front/table.rs: - `evict` ranked a connection that was never used among the idle ones whatever its age, so with calls half received (evictable from 0.25 s on) the newest went first; the grace of 200 ms was no lower bound for it. - `wait_for_room` searched again only when a connection ended, neither as they age nor as a request is answered, and the one that was told might be a listener to which nobody connects while another waits.

Change: the order of eviction is a module of its own without I/O (front/eviction.rs); a connection just opened is evicted last, and not within its first 20 ms. A full table is searched every 10 ms.

Tests: five, in eviction.rs and table.rs; with the old rules put back all five failed. The unit tests of the fronts share a fixture now.

--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -497,14 +497,13 @@
     use bytes::Bytes;
     use glenwood_core::{AttemptId, AttemptResult};
     use glenwood_policy::ServerId;
-    use serde_json::json;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::{TcpListener, TcpStream};
-    use tokio::task::{spawn_local, LocalSet};
+    use tokio::task::spawn_local;
 
     use super::*;
     use crate::call::Content;
-    use crate::config;
+    use crate::front::fixture;
     use crate::hub::HubActions;
 
     /// A backend that answers every attempt at once.
@@ -545,16 +544,7 @@
 
     impl Fixture {
         async fn new() -> Self {
-            let file = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
-                "known": {"seq": 1, "whole": true, "hosts": [{"host": "s0", "dial": "127.0.0.1:1", "site": "a",
-                    "class": "m", "block": 1, "health": "active", "share": 1.0, "born_ms": 0}]},
-                "settings": {"Me": 0, "PeersTotal": 1, "Discovery": "subscribe",
-                    "Classes": [{"Name": "look", "Slo": 900, "Deadline": 9000, "Value": 1, "Idempotency": "pure"}],
-                    "Limits": {"AttemptsCap": 3, "ConnectTimeout": 50},
-                    "Contract": {"ColdShare": 0.2, "WarmWithin": 5000, "FallMultiple": 3, "Fall": 2000}}});
-            let mut config = config::from_value(&file).expect("a valid configuration");
-            let known = config.known.take();
-            let hub = Hub::new(config, None).expect("valid settings");
+            let (hub, known) = fixture::hub();
             let server = Rc::new(Server::default());
             let _ = server.hub.set(hub.clone());
             hub.start(server.clone(), known);
@@ -595,16 +585,9 @@
         text
     }
 
-    fn run(test: impl Future<Output = ()>) {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        LocalSet::new().block_on(&runtime, async {
-            timeout(Duration::from_secs(30), test).await.expect("the test finishes in time");
-        });
-    }
-
     #[test]
     fn request_arriving_while_its_idle_connection_closes_is_answered() {
-        run(async {
+        fixture::run(async {
             let mut fixture = Fixture::new().await;
             fixture.write_as_close_is_requested(&request_text("t2"));
             assert!(answer(&mut fixture.peer).await.starts_with("HTTP/1.1 200"));
@@ -630,7 +613,7 @@
     /// stays open and occupies its slot.
     #[test]
     fn evicted_connection_that_is_used_again_is_not_counted_as_free() {
-        run(async {
+        fixture::run(async {
             let mut fixture = Fixture::new().await;
             fixture.clients.set_limit(1);
             assert!(fixture.clients.evict());
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -1,6 +1,9 @@
 //! Accepts clients' connections and determines the protocol of each.
 
 mod answer_body;
+mod eviction;
+#[cfg(test)]
+mod fixture;
 pub mod http1;
 pub mod msgpack;
 pub mod table;
--- a/crates/node/src/front/table.rs
+++ b/crates/node/src/front/table.rs
@@ -4,12 +4,14 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use glenwood_trace::TraceEvent;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
+use super::eviction::{Candidate, EvictionRank, NEW_CONNECTION_GRACE};
 use crate::hub::Hub;
 use crate::sock::{Phase, TrackedSocket};
 
@@ -22,10 +24,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// The idle timeout after a single request: many clients send one request and never close the connection.
 const IDLE_TIMEOUT_AFTER_ONE: Duration = Duration::from_secs(2);
-/// The age from which a request that is still being received may be evicted when there is no room.
-const EVICTABLE_REQUEST_AGE: Duration = Duration::from_millis(250);
-/// How long a new connection has to send its first request before it may be closed as idle.
-const NEW_CONNECTION_GRACE: Duration = Duration::from_millis(200);
+/// How often a full table is searched for a connection to evict: they become evictable as they age, and as
+/// requests are answered.
+const ROOM_SEARCH_INTERVAL: Duration = Duration::from_millis(10);
 /// New connections are not kept after their first answer once one part in so many of all connections is idle.
 const MAX_IDLE_DIVISOR: usize = 8;
 /// The number of idle connections that a stopping node keeps available, limited to a quarter of its
@@ -92,6 +93,16 @@
         }
     }
 
+    /// Where the connection stands among those that may be evicted, and since when it has been in its phase;
+    /// `None` if it may not be evicted now.
+    fn eviction_order(&self) -> Option<(EvictionRank, Instant)> {
+        let (phase, since) = self.sock.phase();
+        let has_received = self.sock.has_received();
+        let rank = Candidate { phase, age: since.elapsed(), has_received }.rank()?;
+        let is_in_use = self.sock.is_answered_unread() || (phase == Phase::Idle && !self.sock.is_quiet());
+        (!is_in_use).then_some((rank, since))
+    }
+
     fn is_answer_stuck(&self) -> bool {
         self.sock.last_write_at().max(self.sock.phase().1).elapsed() >= ANSWER_STALL_TIMEOUT
     }
@@ -137,7 +148,7 @@
     pub async fn wait_for_room(&self) {
         while self.count() >= self.limit.get() {
             if self.count() - self.evicting.get() < self.limit.get() || !self.evict() {
-                self.freed.notified().await;
+                let _ = timeout(ROOM_SEARCH_INTERVAL, self.freed.notified()).await;
             }
         }
     }
@@ -255,24 +266,14 @@
         self.hub.stopping.get().is_none() && self.idle_count() >= self.limit.get() / MAX_IDLE_DIVISOR
     }
 
-    /// Closes one connection: first those that never sent anything, then the one idle for longest, then the
-    /// one whose request has been arriving for longest. Returns false if all are busy.
+    /// Closes one connection, the one that its [`EvictionRank`] puts first, of equal ones that which has been in
+    /// its phase for longest. Returns false if none may be closed.
     pub fn evict(&self) -> bool {
         let client = {
             let open = self.open.borrow();
-            let rank = |c: &Client| match c.sock.phase() {
-                _ if c.sock.is_answered_unread() => None,
-                (Phase::Idle, since) if c.sock.is_quiet() => {
-                    // Many silent connections must not displace those that are in use.
-                    let is_unused = !c.sock.has_received() && since.elapsed() >= NEW_CONNECTION_GRACE;
-                    Some((if is_unused { 0 } else { 1 }, since))
-                }
-                (Phase::Reading, since) if since.elapsed() >= EVICTABLE_REQUEST_AGE => Some((2, since)),
-                _ => None,
-            };
-            let candidates = open.values().filter(|c| !c.evicted.get());
-            let first = candidates.filter_map(|c| Some((rank(c)?, c))).min_by_key(|(rank, _)| *rank);
-            let Some((_, client)) = first else { return false };
+            let candidates = open.values().filter(|client| !client.evicted.get());
+            let ranked = candidates.filter_map(|client| Some((client.eviction_order()?, client)));
+            let Some((_, client)) = ranked.min_by_key(|(order, _)| *order) else { return false };
             client.clone()
         };
         client.set_evicted(true, &self.evicting);
@@ -280,3 +281,121 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use tokio::net::TcpListener;
+    use tokio::task::spawn_local;
+
+    use super::*;
+    use crate::front::fixture;
+
+    /// How soon a full table must have found room: far less than the time limits of its connections.
+    const ROOM_WITHIN: Duration = Duration::from_secs(1);
+
+    /// A full table of connections that end when they are evicted, and the peers of these.
+    struct FullTable {
+        clients: Rc<Clients>,
+        open: Vec<Rc<Client>>,
+        _peers: Vec<TcpStream>,
+    }
+
+    impl FullTable {
+        async fn new(limit: usize) -> Self {
+            let clients = Clients::new(fixture::hub().0);
+            clients.set_limit(limit);
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let (mut open, mut peers) = (Vec::new(), Vec::new());
+            for _ in 0..limit {
+                let address = listener.local_addr().expect("bound");
+                peers.push(TcpStream::connect(address).await.expect("the listener is open"));
+                let (stream, _) = listener.accept().await.expect("a connection");
+                let (number, client) = clients.add(stream).expect("the connection is open");
+                open.push(client.clone());
+                spawn_local(end_when_evicted(clients.clone(), number, client));
+            }
+            Self { clients, open, _peers: peers }
+        }
+
+        /// How long the table takes to find room.
+        async fn time_to_room(&self) -> Duration {
+            let began = Instant::now();
+            self.clients.wait_for_room().await;
+            began.elapsed()
+        }
+
+        fn enter(&self, phase: Phase) {
+            self.open.iter().for_each(|client| client.sock.set_phase(phase));
+        }
+    }
+
+    async fn end_when_evicted(clients: Rc<Clients>, number: u64, client: Rc<Client>) {
+        loop {
+            client.close.notified().await;
+            if clients.confirm_close(&client) {
+                return clients.remove(number);
+            }
+        }
+    }
+
+    /// Guards against closing a new connection in the moment in which it was accepted, before its request is
+    /// read.
+    #[test]
+    fn a_full_table_does_not_close_a_connection_that_was_just_accepted() {
+        fixture::run(async {
+            let table = FullTable::new(3).await;
+            assert!(!table.clients.evict());
+            let elapsed = table.time_to_room().await;
+            assert!(elapsed < ROOM_WITHIN, "{elapsed:?}");
+            assert_eq!(table.clients.count(), 2);
+        });
+    }
+
+    /// Guards against keeping new clients waiting for as long as a request may take to arrive: requests that are
+    /// being received become evictable as they age.
+    #[test]
+    fn a_full_table_finds_room_as_its_requests_under_way_age() {
+        fixture::run(async {
+            let table = FullTable::new(3).await;
+            table.enter(Phase::Reading);
+            let elapsed = table.time_to_room().await;
+            assert!(elapsed < ROOM_WITHIN, "{elapsed:?}");
+        });
+    }
+
+    /// Guards against keeping new clients waiting until a connection ends, though all are idle again.
+    #[test]
+    fn a_full_table_finds_room_once_a_request_is_answered() {
+        fixture::run(async {
+            let table = FullTable::new(3).await;
+            table.enter(Phase::Busy);
+            let open = table.open.clone();
+            spawn_local(async move {
+                tokio::task::yield_now().await;
+                open.iter().for_each(|client| client.sock.set_phase(Phase::Idle));
+            });
+            let elapsed = table.time_to_room().await;
+            assert!(elapsed < ROOM_WITHIN, "{elapsed:?}");
+        });
+    }
+
+    /// Guards against a listener that finds no room though there is some, because another was told of it that
+    /// has nobody to accept.
+    #[test]
+    fn room_is_found_by_each_listener_that_waits_for_it() {
+        fixture::run(async {
+            let table = FullTable::new(3).await;
+            table.enter(Phase::Busy);
+            let (first, second) = (table.clients.clone(), table.clients.clone());
+            let first = spawn_local(async move { first.wait_for_room().await });
+            let second = spawn_local(async move { second.wait_for_room().await });
+            tokio::task::yield_now().await;
+            table.clients.remove(1);
+            timeout(ROOM_WITHIN, async { (first.await, second.await) })
+                .await
+                .expect("both find room")
+                .0
+                .expect("no panic");
+        });
+    }
+}
