Clients that read their answers slowly are served on: blocked writes are tried again

Callers saw: a client that reads 64 kB a second without a pause was cut off after 5 s, over HTTP within an answer of 16 MB ("Stuck" after 5.1 s), over MessagePack-RPC with answers unread.

Cause: the limit went by the kernel's report of room (epoll), which comes only once a third of a send buffer of 4 MB is free, 20 s at that rate. Evidence: a write that is tried again each second is accepted in part each time. Ruled out: a server that stalls (the log's reason) and a window that stays shut for seconds.

Change: a blocked write is tried again every second whatever the kernel reported, until it accepts no more (`TrackedSocket::retry_write`); the limit of 5 s is as before. With that mend in, the test from the other side found a second fault: over MessagePack-RPC the limit began only with the step after a write that was taken in part, so never where nothing else happened; it begins with the write now.

Tests: crates/node/tests/slow_readers.rs and a unit test in time_limits.rs.

--- a/crates/node/src/front/msgpack.rs
+++ b/crates/node/src/front/msgpack.rs
@@ -170,6 +170,9 @@
                         self.report_unread_answers(&conn);
                         return client.set_ending(Ending::Stuck);
                     }
+                    if limits.take_write_retry(now) {
+                        sock.retry_write();
+                    }
                     let Some(message) = limits.overdue_message(&state, now) else { continue };
                     if sock.pending() != Pending::Bytes {
                         log_slow_message(&message, now);
--- a/crates/node/src/front/msgpack/time_limits.rs
+++ b/crates/node/src/front/msgpack/time_limits.rs
@@ -6,7 +6,7 @@
 use glenwood_msgpack_rpc::server::Connection;
 
 use crate::arrival::MessageArrival;
-use crate::front::table::ANSWER_STALL_TIMEOUT;
+use crate::front::table::{ANSWER_STALL_TIMEOUT, WRITE_RETRY_INTERVAL};
 use crate::sock::Phase;
 
 /// What the next step of a connection depends on.
@@ -45,8 +45,10 @@
 pub(super) struct TimeLimits {
     /// The message that is being received, unless reading pauses.
     message: Option<MessageArrival>,
-    /// Since when the client has not read its answers.
+    /// Since when the kernel has accepted no more of the answers, as the client has not read them.
     blocked_since: Option<Instant>,
+    /// When the blocked write is to be tried again.
+    retry_write_at: Option<Instant>,
 }
 
 impl TimeLimits {
@@ -59,8 +61,23 @@
             Some(message) => message.advance(now, partial),
             None => MessageArrival::begin(now, partial),
         });
-        let is_blocked = state.has_output && !has_written;
-        self.blocked_since = is_blocked.then(|| self.blocked_since.unwrap_or(now));
+        if has_written || !state.has_output {
+            self.blocked_since = None;
+            self.retry_write_at = None;
+        }
+        if state.has_output {
+            self.blocked_since.get_or_insert(now);
+            self.retry_write_at.get_or_insert(now + WRITE_RETRY_INTERVAL);
+        }
+    }
+
+    /// Returns whether a blocked write is to be tried again, and plans the next time.
+    pub(super) fn take_write_retry(&mut self, now: Instant) -> bool {
+        let is_due = self.retry_write_at.is_some_and(|at| now >= at);
+        if is_due {
+            self.retry_write_at = Some(now + WRITE_RETRY_INTERVAL);
+        }
+        is_due
     }
 
     /// Forgets the message that was being received: the next partial one is another.
@@ -73,7 +90,7 @@
     pub(super) fn due(&self, state: &ConnState) -> Option<Instant> {
         let message = self.message.filter(|_| state.phase == Phase::Reading).map(|message| message.due());
         let answers = self.blocked_since.map(|since| since + ANSWER_STALL_TIMEOUT);
-        message.into_iter().chain(answers).min()
+        message.into_iter().chain(answers).chain(self.retry_write_at).min()
     }
 
     /// Returns whether the client has read nothing of its answers for too long.
@@ -130,4 +147,25 @@
             assert_eq!(limits.due(&state).is_some(), !is_other_open);
         }
     }
+
+    /// Guards against keeping for ever the connection of a client that reads no more after a write of which the
+    /// kernel took a part: nothing else may happen on it.
+    #[test]
+    fn what_a_write_left_over_is_limited_from_that_write_on() {
+        let mut protocol = Connection::new(Limits::default());
+        protocol.received(&call(1));
+        while protocol.poll().is_some() {}
+        protocol.answer(1, &Ok(vec![0; 1000].into()));
+        let state = ConnState::of(&protocol, false);
+        assert!(state.has_output);
+        let mut limits = TimeLimits::default();
+        limits.update(&state, true, true);
+        let now = Instant::now();
+        assert!(limits.due(&state).is_some_and(|due| due <= now + WRITE_RETRY_INTERVAL));
+        assert!(!limits.take_write_retry(now) && limits.take_write_retry(now + WRITE_RETRY_INTERVAL));
+        assert!(limits.are_answers_overdue(now + ANSWER_STALL_TIMEOUT));
+        // More of it is taken.
+        limits.update(&state, false, true);
+        assert!(!limits.are_answers_overdue(now + WRITE_RETRY_INTERVAL));
+    }
 }
--- a/crates/node/src/front/table.rs
+++ b/crates/node/src/front/table.rs
@@ -17,6 +17,8 @@
 
 /// How long a client may go without reading any of its answer.
 pub const ANSWER_STALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a write of an answer may be blocked before it is tried again without a report of room.
+pub const WRITE_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a new connection may stay silent. Misbehaving clients open hundreds of connections and send
 /// nothing.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(1800);
@@ -103,8 +105,19 @@
         (!is_in_use).then_some((rank, since))
     }
 
+    /// For how long the kernel has accepted nothing of the answer that is being written.
+    fn blocked_for(&self) -> Duration {
+        self.sock.last_write_at().max(self.sock.phase().1).elapsed()
+    }
+
+    fn retry_blocked_write(&self) {
+        if self.blocked_for() >= WRITE_RETRY_INTERVAL {
+            self.sock.retry_write();
+        }
+    }
+
     fn is_answer_stuck(&self) -> bool {
-        self.sock.last_write_at().max(self.sock.phase().1).elapsed() >= ANSWER_STALL_TIMEOUT
+        self.blocked_for() >= ANSWER_STALL_TIMEOUT
     }
 }
 
@@ -209,7 +222,10 @@
                 }
                 Phase::Reading => client.sock.is_request_overdue().then_some(Ending::Slow),
                 Phase::Busy => None,
-                Phase::Answering => client.is_answer_stuck().then_some(Ending::Stuck),
+                Phase::Answering => {
+                    client.retry_blocked_write();
+                    client.is_answer_stuck().then_some(Ending::Stuck)
+                }
             };
             expired.into_iter().for_each(|ending| client.request_close(ending));
         }
--- a/crates/node/src/sock.rs
+++ b/crates/node/src/sock.rs
@@ -190,6 +190,9 @@
     body_arrival: Cell<Option<BodyArrival>>,
     /// When the call began by which the kernel last accepted bytes to write.
     last_write_at: Cell<Instant>,
+    /// Whether writes are tried whatever the kernel has reported, and who waits to write.
+    must_retry_write: Cell<bool>,
+    blocked_writer: Cell<Option<Waker>>,
     /// The progress of the current request's body, if it is streamed.
     upload: RefCell<Option<Rc<UploadProgress>>>,
     /// The requests that were received and not yet answered.
@@ -246,6 +249,8 @@
             is_empty: Cell::new(true),
             body_arrival: Cell::new(None),
             last_write_at: Cell::new(now),
+            must_retry_write: Cell::new(false),
+            blocked_writer: Cell::default(),
             upload: RefCell::default(),
             requests: RefCell::default(),
             answer_pending: Cell::new(false),
@@ -570,7 +575,23 @@
 
     /// Writes as much as the kernel accepts.
     pub fn try_write(&self, parts: &[IoSlice<'_>]) -> io::Result<usize> {
-        uninterrupted(|| self.stream.try_write_vectored(parts))
+        let written = uninterrupted(|| self.stream.try_write_vectored(parts));
+        if !is_blocked(&written) || !self.must_retry_write.get() {
+            return written;
+        }
+        let written = uninterrupted(|| SockRef::from(&self.stream).send_vectored(parts));
+        self.must_retry_write.set(!is_blocked(&written));
+        written
+    }
+
+    /// Has writes tried whether or not the kernel has reported room, until it accepts no more, and wakes who
+    /// waits for that report. It comes only once a third of a send buffer of megabytes is free, which takes a
+    /// client that reads slowly many seconds; the kernel accepts bytes long before.
+    pub fn retry_write(&self) {
+        self.must_retry_write.set(true);
+        if let Some(writer) = self.blocked_writer.take() {
+            writer.wake();
+        }
     }
 
     /// Shuts down the write side and reads until the peer closes. Closing a socket with unread bytes sends a
@@ -679,6 +700,10 @@
     }
 }
 
+fn is_blocked(written: &io::Result<usize>) -> bool {
+    written.as_ref().is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+}
+
 /// Repeats a call while it is interrupted by a signal.
 fn uninterrupted(mut call: impl FnMut() -> io::Result<usize>) -> io::Result<usize> {
     loop {
@@ -724,19 +749,7 @@
 
 impl Write for Io {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let sock = &self.0;
-        loop {
-            ready!(sock.stream.poll_write_ready(cx))?;
-            let at = Instant::now();
-            match sock.stream.try_write(buf) {
-                Ok(n) => {
-                    sock.record_write(&buf[..n], at);
-                    return Poll::Ready(Ok(n));
-                }
-                Err(e) if is_retryable(&e) => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
+        self.poll_write_vectored(cx, &[IoSlice::new(buf)])
     }
 
     fn poll_write_vectored(
@@ -746,9 +759,15 @@
     ) -> Poll<io::Result<usize>> {
         let sock = &self.0;
         loop {
-            ready!(sock.stream.poll_write_ready(cx))?;
+            let is_ready = sock.stream.poll_write_ready(cx)?.is_ready();
+            if !is_ready {
+                sock.blocked_writer.set(Some(cx.waker().clone()));
+                if !sock.must_retry_write.get() {
+                    return Poll::Pending;
+                }
+            }
             let at = Instant::now();
-            match sock.stream.try_write_vectored(parts) {
+            match sock.try_write(parts) {
                 Ok(n) => {
                     let mut left = n;
                     for part in parts {
@@ -760,6 +779,7 @@
                     }
                     return Poll::Ready(Ok(n));
                 }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock && !is_ready => return Poll::Pending,
                 Err(e) if is_retryable(&e) => {}
                 Err(e) => return Poll::Ready(Err(e)),
             }
