--- a/crates/node/src/front/table.rs
+++ b/crates/node/src/front/table.rs
@@ -282,7 +282,7 @@
         self.hub.stopping.get().is_none() && self.idle_count() >= self.limit.get() / MAX_IDLE_DIVISOR
     }
 
-    /// Closes one connection, the one that its [`EvictionRank`] puts first, of equal ones that which has been in
+    /// Closes one connection, the one that its `EvictionRank` puts first, of equal ones that which has been in
     /// its phase for longest. Returns false if none may be closed.
     pub fn evict(&self) -> bool {
         let client = {
